--- /dev/null
+++ b/daisystack/backends/__init__.py
@@ -0,0 +1,36 @@
+"""Adapt the platform's services to the interfaces in base."""
+
+from daisystack.backends.base import (
+    BackendError,
+    ConfigService,
+    LiveInstance,
+    LiveList,
+    LoadOrder,
+    ModelEngine,
+    OrderAnswer,
+    RateRefused,
+    WeightSource,
+)
+from daisystack.backends.config_service import HttpConfigService
+from daisystack.backends.engine import HttpModelEngine, HttpPlainService
+from daisystack.backends.http import HttpEndpoint
+from daisystack.backends.live_list import HttpLiveList
+from daisystack.backends.weight_source import HttpWeightSource
+
+__all__ = [
+    "BackendError",
+    "ConfigService",
+    "HttpConfigService",
+    "HttpEndpoint",
+    "HttpLiveList",
+    "HttpModelEngine",
+    "HttpPlainService",
+    "HttpWeightSource",
+    "LiveInstance",
+    "LiveList",
+    "LoadOrder",
+    "ModelEngine",
+    "OrderAnswer",
+    "RateRefused",
+    "WeightSource",
+]
--- /dev/null
+++ b/daisystack/backends/config_service.py
@@ -0,0 +1,31 @@
+"""Read the published document from the config service over HTTP."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from daisystack.backends.base import BackendError
+from daisystack.backends.http import HttpEndpoint
+from daisystack.core.config_keeper import Published
+
+__all__ = ["HttpConfigService"]
+
+WATCH_MARGIN_S = 2.0
+
+
+@define
+class HttpConfigService:
+    """Watch `GET /v1/document?after=REVISION&wait_s=N`, which answers 200 or 304."""
+
+    endpoint: HttpEndpoint
+
+    def watch(self, after_revision: int, wait_s: float) -> Published | None:
+        """Wait for a newer document; None when there is none; raises BackendError."""
+        path = f"/v1/document?after={after_revision}&wait_s={wait_s}"
+        response = self.endpoint.call("GET", path, read_timeout_s=wait_s + WATCH_MARGIN_S)
+        if response.status == 304:
+            return None
+        revision = response.headers.get("Revision", "")
+        if response.status != 200 or not revision.isdigit():
+            raise BackendError(f"config service: {response.status}, revision {revision!r}")
+        return Published(int(revision), response.data)
--- /dev/null
+++ b/daisystack/backends/weight_source.py
@@ -0,0 +1,43 @@
+"""Read manifests and chunks from the weight store or the origin over HTTP."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from daisystack.backends.base import BackendError, RateRefused
+from daisystack.backends.http import HttpEndpoint
+
+__all__ = ["HttpWeightSource"]
+
+CHUNK_TIMEOUT_S = 20.0
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+@define
+class HttpWeightSource:
+    """Read `GET /v1/manifests/DIGEST` and `GET /v1/chunks/DIGEST`; 429 refuses by rate."""
+
+    endpoint: HttpEndpoint
+
+    def manifest(self, digest: str) -> bytes:
+        """Return a manifest's bytes, unverified; raises BackendError."""
+        return self._get(f"/v1/manifests/{digest}")
+
+    def chunk(self, digest: str) -> bytes:
+        """Return a chunk's bytes, unverified; raises BackendError."""
+        return self._get(f"/v1/chunks/{digest}")
+
+    def _get(self, path: str) -> bytes:
+        response = self.endpoint.call("GET", path, read_timeout_s=CHUNK_TIMEOUT_S)
+        if response.status == 429:
+            raise RateRefused(_retry_after_s(response.headers.get("Retry-After", "")))
+        if response.status != 200:
+            raise BackendError(f"{self.endpoint.address}{path}: status {response.status}")
+        return response.data
+
+
+def _retry_after_s(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return DEFAULT_RETRY_AFTER_S
--- /dev/null
+++ b/daisystack/cli.py
@@ -0,0 +1,128 @@
+"""Define the command line."""
+
+from __future__ import annotations
+
+import inspect
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
+
+import attrs
+import typer
+
+from daisystack.core.settings import (
+    AgentSettings,
+    EntrySettings,
+    SettingsRefused,
+    env_name,
+    flag_name,
+    read_settings,
+)
+from daisystack.core.validation import DocumentRefused, read_document
+from daisystack.standins.cli import app as standins_app
+
+__all__ = ["app"]
+
+EXIT_REFUSED = 2
+
+app = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    no_args_is_help=True,
+    help="Distribute weights to a fleet and route requests to it.",
+)
+app.add_typer(standins_app, name="standins", help="Run stand-ins for the platform.")
+
+
+def _show_refusal(refused: ExceptionGroup) -> None:
+    print(refused.message, file=sys.stderr)
+    for error in refused.exceptions:
+        print(f"  {error}", file=sys.stderr)
+
+
+def _settings_command(kind: type, run: Callable[[object], None]) -> Callable[..., None]:
+    """Make a command whose flags are the fields of a settings class."""
+
+    def command(**given: str | None) -> None:
+        try:
+            settings = read_settings(kind, given)
+        except SettingsRefused as refused:
+            _show_refusal(refused)
+            raise typer.Exit(EXIT_REFUSED) from None
+        run(settings)
+
+    # All flags are text here, so that one check reports every fault together.
+    command.__signature__ = inspect.Signature(
+        [
+            inspect.Parameter(
+                setting.name,
+                inspect.Parameter.KEYWORD_ONLY,
+                default=None,
+                annotation=Annotated[
+                    str | None,
+                    typer.Option(
+                        flag_name(setting.name),
+                        envvar=env_name(setting.name),
+                        help=_help(setting),
+                        metavar="VALUE",
+                    ),
+                ],
+            )
+            for setting in attrs.fields(kind)
+        ]
+    )
+    command.__doc__ = f"Run the daemon with these {kind.__name__}."
+    return command
+
+
+def _help(setting: attrs.Attribute) -> str:
+    if setting.default is attrs.NOTHING:
+        return setting.metadata["help"] + " (needed)"
+    return f"{setting.metadata['help']} (default {setting.default or 'none'})"
+
+
+def _run_entry(settings: EntrySettings) -> None:
+    from daisystack.runtime.entry import run_entry
+    from daisystack.runtime.logs import set_up_logging
+
+    set_up_logging(settings.id)
+    run_entry(settings)
+
+
+def _run_agent(settings: AgentSettings) -> None:
+    from daisystack.runtime.agent import run_agent
+    from daisystack.runtime.logs import set_up_logging
+
+    set_up_logging(settings.id)
+    run_agent(settings)
+
+
+app.command("entry", help="Run the daemon of an entry instance.")(
+    _settings_command(EntrySettings, _run_entry)
+)
+app.command("agent", help="Run the daemon in an upstream instance's slot.")(
+    _settings_command(AgentSettings, _run_agent)
+)
+
+
+@app.command("check")
+def check(
+    files: Annotated[list[Path], typer.Argument(help="Register and rules documents")],
+) -> None:
+    """Validate documents as the daemons do; exits 2 when one is refused."""
+    refused_any = False
+    for path in files:
+        try:
+            document = read_document(path.read_bytes())
+        except OSError as error:
+            refused_any = True
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+        except DocumentRefused as refused:
+            refused_any = True
+            print(f"{path}: ", end="", file=sys.stderr)
+            _show_refusal(refused)
+        else:
+            print(f"{path}: valid, {len(document.register.instances)} instances")
+    if refused_any:
+        raise typer.Exit(EXIT_REFUSED)
--- /dev/null
+++ b/daisystack/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide; knows no socket, clock or thread."""
--- /dev/null
+++ b/daisystack/core/addresses.py
@@ -0,0 +1,34 @@
+"""Parse the IP addresses that processes use to reach each other."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from attrs import frozen
+
+__all__ = ["Address", "parse_address"]
+
+MAX_PORT = 65535
+
+
+@frozen(order=True)
+class Address:
+    """Hold an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse `ip:port`; raises ValueError that says what was got."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"got {text!r}, allowed is ip:port with a port from 1 to {MAX_PORT}")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"got host {host!r}, allowed is an IP number") from None
+    return Address(host, int(port))
--- /dev/null
+++ b/daisystack/core/chunk_store.py
@@ -0,0 +1,54 @@
+"""Hold verified chunks in bounded memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from daisystack.core.manifests import ChunkRef, verify_chunk
+
+__all__ = ["ChunkStore", "StoreFull"]
+
+
+class StoreFull(Exception):
+    """Say that the chunks in use already fill the store."""
+
+
+@define
+class ChunkStore:
+    """Map digests to verified bytes, dropping what no version in use needs when full."""
+
+    max_bytes: int
+    held_bytes: int = 0
+    _bodies: dict[str, bytes] = field(factory=dict)
+    _in_use: set[str] = field(factory=set)
+
+    def __contains__(self, digest: object) -> bool:
+        return digest in self._bodies
+
+    def get(self, digest: str) -> bytes | None:
+        """Return a chunk's bytes, or None when it is not held."""
+        return self._bodies.get(digest)
+
+    def keep_only(self, digests: Iterable[str]) -> None:
+        """Mark the chunks in use; the others go first when room is needed."""
+        self._in_use = set(digests)
+
+    def put(self, chunk: ChunkRef, body: bytes) -> None:
+        """Verify and hold a chunk; raises ChunkFault or StoreFull."""
+        verify_chunk(chunk, body)
+        if chunk.digest in self._bodies:
+            return
+        self._make_room(len(body))
+        self._bodies[chunk.digest] = body
+        self.held_bytes += len(body)
+
+    def _make_room(self, size_bytes: int) -> None:
+        for digest in list(self._bodies):
+            if self.held_bytes + size_bytes <= self.max_bytes:
+                return
+            if digest not in self._in_use:
+                self.held_bytes -= len(self._bodies.pop(digest))
+        if self.held_bytes + size_bytes > self.max_bytes:
+            raise StoreFull(f"{self.held_bytes} of {self.max_bytes} bytes are in use")
--- /dev/null
+++ b/daisystack/core/config_keeper.py
@@ -0,0 +1,119 @@
+"""Accept published documents so that the configuration never reverts."""
+
+from __future__ import annotations
+
+import hashlib
+
+from attrs import define, field, frozen
+
+from daisystack.core.register import SiteDocument
+from daisystack.core.validation import DocumentRefused, read_document
+
+__all__ = [
+    "AcceptedConfig",
+    "ConfigAccepted",
+    "ConfigIgnored",
+    "ConfigKeeper",
+    "ConfigOutcome",
+    "ConfigRefused",
+    "Published",
+]
+
+
+@frozen
+class Published:
+    """Hold a document's bytes as published under a revision."""
+
+    revision: int
+    body: bytes
+
+    @property
+    def digest(self) -> str:
+        """Return the SHA-256 of the body in hex."""
+        return hashlib.sha256(self.body).hexdigest()
+
+
+@frozen
+class AcceptedConfig:
+    """Hold the configuration in force."""
+
+    revision: int
+    digest: str
+    body: bytes
+    document: SiteDocument
+    accepted_s: float
+
+
+@frozen
+class ConfigAccepted:
+    """Say that a new configuration is in force."""
+
+    config: AcceptedConfig
+    previous_revision: int
+    source: str
+
+
+@frozen
+class ConfigIgnored:
+    """Say that an offer was not newer than what is known."""
+
+    revision: int
+    reason: str
+
+
+@frozen
+class ConfigRefused:
+    """Say that an offer was faulty and the configuration in force stays."""
+
+    revision: int
+    faults: tuple[str, ...]
+    source: str
+
+
+ConfigOutcome = ConfigAccepted | ConfigIgnored | ConfigRefused
+
+NO_REVISION = 0
+
+
+@define
+class ConfigKeeper:
+    """Keep the newest valid configuration that any source has shown."""
+
+    current: AcceptedConfig | None = None
+    highest_refused: int = field(default=NO_REVISION)
+    _refused_digest: str = ""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 before the first."""
+        return self.current.revision if self.current else NO_REVISION
+
+    def offer(self, published: Published, source: str, now_s: float) -> ConfigOutcome:
+        """Decide on a document that a source has shown."""
+        if published.revision < self.revision:
+            return ConfigIgnored(published.revision, "older than the revision in force")
+        if self.current and published.revision == self.revision:
+            return self._same_revision(published, source)
+        if published.revision == self.highest_refused and published.digest == self._refused_digest:
+            return ConfigIgnored(published.revision, "refused before")
+        try:
+            document = read_document(published.body)
+        except DocumentRefused as refused:
+            return self._refuse(published, source, tuple(str(e) for e in refused.exceptions))
+        previous = self.revision
+        self.current = AcceptedConfig(
+            published.revision, published.digest, published.body, document, now_s
+        )
+        return ConfigAccepted(self.current, previous, source)
+
+    def _same_revision(self, published: Published, source: str) -> ConfigOutcome:
+        if published.digest == self.current.digest:
+            return ConfigIgnored(published.revision, "in force already")
+        fault = "$: another document was accepted under this revision"
+        return ConfigRefused(published.revision, (fault,), source)
+
+    def _refuse(self, published: Published, source: str, faults: tuple[str, ...]) -> ConfigRefused:
+        if published.revision >= self.highest_refused:
+            self.highest_refused = published.revision
+            self._refused_digest = published.digest
+        return ConfigRefused(published.revision, faults, source)
--- /dev/null
+++ b/daisystack/core/distribution.py
@@ -0,0 +1,115 @@
+"""Decide where an agent asks for each chunk, with no coordinator."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from functools import cached_property
+
+from attrs import frozen
+
+from daisystack.core.regions import RegionTrees
+from daisystack.core.register import Instance, ModelRef, SiteDocument
+from daisystack.core.rendezvous import rank_members
+
+__all__ = ["DistributionPlan", "OriginBudget", "plan_distribution"]
+
+
+@frozen(slots=False)
+class DistributionPlan:
+    """Place one instance among those that should hold a version.
+
+    Inside a region the members form a ring; chunk i enters at member i modulo n and travels round,
+    each member pulling from the one before it, so each machine sends and receives one copy.
+    """
+
+    ref: ModelRef
+    me: str
+    region: str
+    rings: dict[str, tuple[str, ...]]
+    trees: RegionTrees
+    max_origin_copies: float
+    takeover_s: float
+
+    @cached_property
+    def ring(self) -> tuple[str, ...]:
+        """Return the members of the own region in ring order."""
+        return self.rings[self.region]
+
+    @cached_property
+    def predecessors(self) -> tuple[str, ...]:
+        """Return the other members of the ring, nearest before the own place first."""
+        place = self.ring.index(self.me)
+        turned = self.ring[place + 1 :] + self.ring[:place]
+        return tuple(reversed(turned))
+
+    def fetchers(self, chunk_index: int, region: str) -> list[str]:
+        """Rank the members that may bring a chunk into a region, the designated one first."""
+        ring = self.rings[region]
+        first = ring[chunk_index % len(ring)]
+        others = [member for member in ring if member != first]
+        return [first, *rank_members(f"{self.ref.manifest_digest}/{chunk_index}", others)]
+
+    def takeover_delay_s(self, chunk_index: int) -> float:
+        """Return how long without progress until this instance fetches a chunk itself."""
+        rank = self.fetchers(chunk_index, self.region).index(self.me)
+        return rank * self.takeover_s
+
+    def feeding_regions(self, chunk_index: int) -> list[str | None]:
+        """Rank the regions to ask for a chunk; None is the origin, the last resort of far ones."""
+        parent = self.trees.parent(chunk_index, self.region)
+        if parent is None:
+            return [None]
+        others = [r for r in sorted(self.rings) if r not in (parent, self.region)]
+        return [parent, *others, None]
+
+    def origin_budget(self, chunk_count: int) -> OriginBudget:
+        """Return the chunks this instance may pull so that all together keep the cap.
+
+        The far regions share one copy of the cap, the origin's region the rest.
+        """
+        near = len(self.rings[self.trees.origin_region])
+        far = sum(len(ring) for ring in self.rings.values()) - near
+        far_copies = min(1.0, self.max_origin_copies - 1.0) if far else 0.0
+        if self.region == self.trees.origin_region:
+            share = (self.max_origin_copies - far_copies) / near
+        else:
+            share = far_copies / far
+        return OriginBudget(math.floor(share * chunk_count))
+
+
+@frozen
+class OriginBudget:
+    """Bound the chunks one instance pulls from the origin in a rollout."""
+
+    chunks: int
+
+    def allows(self, pulled: int) -> bool:
+        """Say whether one more pull keeps the bound."""
+        return pulled < self.chunks
+
+
+def plan_distribution(document: SiteDocument, ref: ModelRef, me: str) -> DistributionPlan:
+    """Work out an instance's place from the register alone."""
+    members = [i for i in document.upstreams if ref in document.intent_of(i.id)]
+    rings = _rings(document, members)
+    region = document.region_of(document.instances[me])
+    rollout = document.rules.rollout
+    origin_region = rollout.origin_region
+    if origin_region not in rings:
+        origin_region = min(rings)
+    trees = RegionTrees.build(origin_region, sorted(rings), document.rules.links.region_pairs)
+    return DistributionPlan(
+        ref, me, region, rings, trees, rollout.max_origin_copies, rollout.takeover_s
+    )
+
+
+def _rings(document: SiteDocument, members: Sequence[Instance]) -> dict[str, tuple[str, ...]]:
+    rings: dict[str, list[Instance]] = {}
+    for instance in members:
+        rings.setdefault(document.region_of(instance), []).append(instance)
+    # Neighbours in a zone stand together, so a ring crosses each zone border once.
+    return {
+        region: tuple(i.id for i in sorted(ring, key=lambda i: (i.zone, i.id)))
+        for region, ring in rings.items()
+    }
--- /dev/null
+++ b/daisystack/core/entry_addresses.py
@@ -0,0 +1,46 @@
+"""Choose the addresses that callers are told to use."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from daisystack.core.peers import PeerState, PeerTable
+from daisystack.core.register import Instance, SiteDocument
+
+__all__ = ["EntryAddress", "list_entry_addresses"]
+
+
+@frozen
+class EntryAddress:
+    """Name an entry that a caller may use."""
+
+    instance: str
+    address: str
+    zone: str
+
+
+def list_entry_addresses(
+    document: SiteDocument, me: str, leaving: bool, zone: str, peers: PeerTable, now_s: float
+) -> list[EntryAddress]:
+    """Return the entries in use, those in a caller's zone first; never one known to leave."""
+    found = [
+        entry
+        for entry in document.entries
+        if (not leaving if entry.id == me else _is_usable(entry, peers, now_s))
+    ]
+    region = document.regions_by_zone.get(zone)
+    found.sort(key=lambda entry: (_distance(document, entry, zone, region), entry.id))
+    return [EntryAddress(entry.id, entry.http_address, entry.zone) for entry in found]
+
+
+def _is_usable(entry: Instance, peers: PeerTable, now_s: float) -> bool:
+    status = peers.status(entry.id)
+    if status is None or status.leaving:
+        return False
+    return peers.state(entry.id, now_s) is PeerState.ALIVE
+
+
+def _distance(document: SiteDocument, entry: Instance, zone: str, region: str | None) -> int:
+    if entry.zone == zone:
+        return 0
+    return 1 if document.region_of(entry) == region else 2
--- /dev/null
+++ b/daisystack/core/gate.py
@@ -0,0 +1,101 @@
+"""Decide whether an upstream's agent lets requests through to its engine."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import define, field, frozen
+
+from daisystack.core.register import ModelRef
+
+__all__ = ["EngineReport", "Gate", "GateReason"]
+
+REPORT_LIFETIME_S = 3.0
+
+
+class GateReason(enum.Enum):
+    """Name why a gate is open or closed."""
+
+    OPEN = "open"
+    NO_CONFIG = "no_config"
+    NOT_LISTED = "not_listed"
+    LEAVING = "leaving"
+    NO_REPORT = "no_report"
+    REPORT_OLD = "report_old"
+    DRAINING = "draining"
+    LOADING = "loading"
+    OTHER_WEIGHTS = "other_weights"
+    SUPERSEDED = "superseded"
+
+
+@frozen
+class EngineReport:
+    """Hold what an engine says it serves, read at a time on the own clock."""
+
+    life: str
+    serving: frozenset[ModelRef]
+    loading: bool
+    fence: int
+    in_flight: int
+    read_s: float
+
+
+@define
+class Gate:
+    """Hold one agent's gate; its generation grows with every change of state or weights."""
+
+    reason: GateReason = GateReason.NO_CONFIG
+    generation: int = 0
+    _weights: tuple[str, frozenset[ModelRef]] | None = field(default=None)
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether requests may pass."""
+        return self.reason is GateReason.OPEN
+
+    def update(
+        self,
+        intent: frozenset[ModelRef] | None,
+        report: EngineReport | None,
+        leaving: bool,
+        superseded: bool,
+        draining: bool,
+        now_s: float,
+    ) -> bool:
+        """Judge the gate anew and say whether it changed; intent None means not listed."""
+        reason = _judge(intent, report, leaving, superseded, draining, now_s)
+        weights = (report.life, report.serving) if report else None
+        if reason is self.reason and weights == self._weights:
+            return False
+        changed = reason is not self.reason
+        self.reason = reason
+        self._weights = weights
+        self.generation += 1
+        return changed
+
+
+def _judge(
+    intent: frozenset[ModelRef] | None,
+    report: EngineReport | None,
+    leaving: bool,
+    superseded: bool,
+    draining: bool,
+    now_s: float,
+) -> GateReason:
+    if intent is None:
+        return GateReason.NOT_LISTED
+    if leaving:
+        return GateReason.LEAVING
+    if superseded:
+        return GateReason.SUPERSEDED
+    if report is None:
+        return GateReason.NO_REPORT
+    if now_s - report.read_s > REPORT_LIFETIME_S:
+        return GateReason.REPORT_OLD
+    if draining:
+        return GateReason.DRAINING
+    if report.loading:
+        return GateReason.LOADING
+    if report.serving != intent:
+        return GateReason.OTHER_WEIGHTS
+    return GateReason.OPEN
--- /dev/null
+++ b/daisystack/core/idempotency.py
@@ -0,0 +1,193 @@
+"""Let each ticket run at most once on the upstream that owns it."""
+
+from __future__ import annotations
+
+import enum
+import heapq
+
+from attrs import define, field, frozen
+
+from daisystack.core.tickets import MAX_TICKET_LIFETIME_S, Ticket
+from daisystack.core.verdicts import Verdict
+
+__all__ = [
+    "Begin",
+    "BeginRefused",
+    "IdempotencyTable",
+    "RecordState",
+    "RecordedAnswer",
+    "Replay",
+    "Run",
+    "SealOutcome",
+]
+
+# A record's key, digest, heap entry and object together, rounded up.
+RECORD_BYTES = 700
+
+
+class RecordState(enum.Enum):
+    """Say what is known of a ticket on its owner."""
+
+    SEALED = "sealed"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@frozen
+class RecordedAnswer:
+    """Hold a whole answer so that a resend gets the same one."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@frozen
+class Run:
+    """Allow the one run of a ticket."""
+
+    ticket: Ticket
+
+
+@frozen
+class Replay:
+    """Return what the one run answered; None when it was too large to keep."""
+
+    answer: RecordedAnswer | None
+
+
+@frozen
+class BeginRefused:
+    """Refuse to run; sealed says that the ticket never ran and never will."""
+
+    verdict: Verdict
+    sealed: bool
+    reason: str
+
+
+@frozen
+class SealOutcome:
+    """Say what a ticket's state is after an attempt to seal it."""
+
+    state: RecordState
+    sealed: bool
+
+
+Begin = Run | Replay | BeginRefused
+
+
+@define
+class _Record:
+    state: RecordState
+    body_digest: str
+    answer: RecordedAnswer | None = None
+    answer_bytes: int = 0
+
+
+@define
+class IdempotencyTable:
+    """Remember every ticket of this life until it expires.
+
+    A full table refuses new tickets and never forgets early. Part of the room is kept for seals,
+    because a ticket may be called not run only when it can no longer run later.
+    """
+
+    owner: str
+    incarnation: str
+    max_records: int = 20_000
+    max_answer_bytes: int = 8_000_000
+    max_one_answer_bytes: int = 65_536
+    seal_room: float = 0.2
+    answer_bytes: int = 0
+    _records: dict[Ticket, _Record] = field(factory=dict)
+    _expiries: list[tuple[int, str, Ticket]] = field(factory=list)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def begin(self, ticket: Ticket, body_digest: str, uptime_s: float) -> Begin:
+        """Decide whether a ticket may run now; only the first call ever returns Run."""
+        self._drop_expired(uptime_s)
+        record = self._records.get(ticket)
+        if record is not None:
+            return self._begin_again(record, body_digest)
+        fault = self._fault(ticket, uptime_s)
+        if fault is not None:
+            return BeginRefused(Verdict.MAY_HAVE_RUN, False, fault)
+        if len(self._records) >= self.max_records * (1 - self.seal_room):
+            return self.refuse(ticket, "idempotency table full", uptime_s)
+        self._add(ticket, _Record(RecordState.RUNNING, body_digest))
+        return Run(ticket)
+
+    def refuse(self, ticket: Ticket, reason: str, uptime_s: float) -> BeginRefused:
+        """Refuse a ticket for good if it never ran; the verdict says whether that holds."""
+        outcome = self.seal(ticket, uptime_s)
+        if outcome.sealed:
+            return BeginRefused(Verdict.NOT_RUN, True, reason)
+        verdict = Verdict.RAN if outcome.state is RecordState.FINISHED else Verdict.MAY_HAVE_RUN
+        return BeginRefused(verdict, False, reason)
+
+    def seal(self, ticket: Ticket, uptime_s: float) -> SealOutcome:
+        """Make sure that a ticket that has not run never will."""
+        self._drop_expired(uptime_s)
+        record = self._records.get(ticket)
+        if record is not None:
+            return SealOutcome(record.state, record.state is RecordState.SEALED)
+        if self._fault(ticket, uptime_s) is not None or len(self._records) >= self.max_records:
+            return SealOutcome(RecordState.UNKNOWN, False)
+        self._add(ticket, _Record(RecordState.SEALED, ""))
+        return SealOutcome(RecordState.SEALED, True)
+
+    def finish(self, ticket: Ticket, answer: RecordedAnswer) -> None:
+        """Record the whole answer of a run, or only that it ran when there is no room."""
+        record = self._records[ticket]
+        record.state = RecordState.FINISHED
+        size_bytes = len(answer.body)
+        has_room = self.answer_bytes + size_bytes <= self.max_answer_bytes
+        if size_bytes <= self.max_one_answer_bytes and has_room:
+            record.answer = answer
+            record.answer_bytes = size_bytes
+            self.answer_bytes += size_bytes
+
+    def finish_unknown(self, ticket: Ticket) -> None:
+        """Record that a run began and its outcome is lost."""
+        self._records[ticket].state = RecordState.UNKNOWN
+
+    def finish_not_run(self, ticket: Ticket) -> None:
+        """Seal a ticket whose run ended before a byte reached the upstream."""
+        self._records[ticket].state = RecordState.SEALED
+
+    def _begin_again(self, record: _Record, body_digest: str) -> Begin:
+        if record.state is RecordState.SEALED:
+            return BeginRefused(Verdict.NOT_RUN, True, "refused before")
+        if record.body_digest != body_digest:
+            return BeginRefused(Verdict.MAY_HAVE_RUN, False, "same ticket with another body")
+        if record.state is RecordState.FINISHED:
+            return Replay(record.answer)
+        if record.state is RecordState.RUNNING:
+            return BeginRefused(Verdict.MAY_HAVE_RUN, False, "still running")
+        return BeginRefused(Verdict.MAY_HAVE_RUN, False, "outcome of the run is lost")
+
+    def _fault(self, ticket: Ticket, uptime_s: float) -> str | None:
+        if ticket.owner != self.owner:
+            return "ticket belongs to another owner"
+        if ticket.incarnation != self.incarnation:
+            return "ticket belongs to an earlier life of its owner"
+        if uptime_s >= ticket.expires_uptime_s:
+            return "ticket has expired"
+        if ticket.expires_uptime_s > uptime_s + MAX_TICKET_LIFETIME_S:
+            return "ticket expires too late"
+        return None
+
+    def _add(self, ticket: Ticket, record: _Record) -> None:
+        self._records[ticket] = record
+        heapq.heappush(self._expiries, (ticket.expires_uptime_ms, str(ticket), ticket))
+
+    def _drop_expired(self, uptime_s: float) -> None:
+        while self._expiries and self._expiries[0][2].expires_uptime_s <= uptime_s:
+            ticket = self._expiries[0][2]
+            if self._records[ticket].state is RecordState.RUNNING:
+                return
+            heapq.heappop(self._expiries)
+            self.answer_bytes -= self._records.pop(ticket).answer_bytes
--- /dev/null
+++ b/daisystack/core/loading.py
@@ -0,0 +1,58 @@
+"""Decide when an instance may take its engine out of service to load weights."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from itertools import zip_longest
+
+from attrs import frozen
+
+from daisystack.core.peers import PeerState
+from daisystack.core.register import Instance, SiteDocument
+
+__all__ = ["LoadingTurn", "lane_before", "may_load"]
+
+
+@frozen
+class LoadingTurn:
+    """Say whether an instance may load now, and whom it waits for."""
+
+    allowed: bool
+    waits_for: str | None = None
+
+
+def lane_before(document: SiteDocument, instance_id: str) -> list[str]:
+    """Return the instances of the own lane that load earlier, nearest first.
+
+    A pool with at most k loading at once forms k lanes: rank r loads after rank r - k, so one
+    status per load decides and nobody counts the whole pool.
+    """
+    instance = document.instances[instance_id]
+    pool = [i for i in document.upstreams if i.pool == instance.pool]
+    ranked = _interleave_zones(pool)
+    lanes = document.pool_rules(instance.pool or "").max_loading
+    place = ranked.index(instance_id)
+    return [ranked[earlier] for earlier in range(place - lanes, -1, -lanes)]
+
+
+def may_load(
+    before: Sequence[str],
+    state_of: Callable[[str], PeerState],
+    is_done: Callable[[str], bool],
+) -> LoadingTurn:
+    """Decide from the nearest earlier instance that is not suspected; none left means yes."""
+    for instance_id in before:
+        if state_of(instance_id) is PeerState.SUSPECTED:
+            continue
+        if is_done(instance_id):
+            return LoadingTurn(True)
+        return LoadingTurn(False, instance_id)
+    return LoadingTurn(True)
+
+
+def _interleave_zones(pool: Sequence[Instance]) -> list[str]:
+    by_zone: dict[str, list[str]] = {}
+    for instance in sorted(pool, key=lambda i: (i.zone, i.id)):
+        by_zone.setdefault(instance.zone, []).append(instance.id)
+    rounds = zip_longest(*(by_zone[zone] for zone in sorted(by_zone)))
+    return [instance_id for row in rounds for instance_id in row if instance_id is not None]
--- /dev/null
+++ b/daisystack/core/manifests.py
@@ -0,0 +1,83 @@
+"""Describe the weights of a version as content-addressed chunks."""
+
+from __future__ import annotations
+
+import hashlib
+
+import cattrs
+from attrs import frozen
+from cattrs.preconf.json import make_converter
+
+__all__ = [
+    "ChunkFault",
+    "ChunkRef",
+    "Manifest",
+    "digest_bytes",
+    "dump_manifest",
+    "read_manifest",
+    "verify_chunk",
+]
+
+MAX_CHUNK_BYTES = 16 * 1024 * 1024
+
+_converter = make_converter(forbid_extra_keys=True)
+
+
+class ChunkFault(ValueError):
+    """Say why bytes are not the chunk or manifest that was asked for."""
+
+
+@frozen
+class ChunkRef:
+    """Name a chunk by its SHA-256 and size."""
+
+    digest: str
+    size_bytes: int
+
+
+@frozen
+class Manifest:
+    """List the chunks of one version in order."""
+
+    model: str
+    version: str
+    chunks: tuple[ChunkRef, ...]
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the whole version."""
+        return sum(chunk.size_bytes for chunk in self.chunks)
+
+
+def digest_bytes(body: bytes) -> str:
+    """Return the SHA-256 of a body in hex."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def dump_manifest(manifest: Manifest) -> bytes:
+    """Serialize a manifest; its digest is that of these bytes."""
+    return _converter.dumps(manifest).encode()
+
+
+def read_manifest(body: bytes, digest: str) -> Manifest:
+    """Parse a manifest; raises ChunkFault when it is not the one named by the digest."""
+    if digest_bytes(body) != digest:
+        raise ChunkFault(f"manifest has digest {digest_bytes(body)}, allowed is {digest}")
+    try:
+        manifest = _converter.loads(body, Manifest)
+    except (ValueError, cattrs.BaseValidationError) as error:
+        raise ChunkFault(f"manifest {digest} does not parse: {error}") from error
+    for chunk in manifest.chunks:
+        if not 0 < chunk.size_bytes <= MAX_CHUNK_BYTES:
+            raise ChunkFault(
+                f"chunk of {chunk.size_bytes} bytes, allowed are 1 to {MAX_CHUNK_BYTES}"
+            )
+    return manifest
+
+
+def verify_chunk(chunk: ChunkRef, body: bytes) -> None:
+    """Check a chunk's size and digest; raises ChunkFault."""
+    if len(body) != chunk.size_bytes:
+        raise ChunkFault(f"got {len(body)} bytes, allowed are {chunk.size_bytes}")
+    if digest_bytes(body) != chunk.digest:
+        raise ChunkFault(f"digest does not match chunk {chunk.digest}")
--- /dev/null
+++ b/daisystack/core/readers.py
@@ -0,0 +1,98 @@
+"""Choose the few processes that read the config service, and whom each process talks to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from daisystack.core.loading import lane_before
+from daisystack.core.peers import PeerState
+from daisystack.core.register import Instance, SiteDocument
+from daisystack.core.rendezvous import rank_members
+
+__all__ = [
+    "agent_neighbours",
+    "entry_neighbours",
+    "reader_ranking",
+    "should_read",
+    "upstreams_of_entry",
+]
+
+READERS_PER_ZONE = 2
+READER_CANDIDATES = 3
+MAX_UPSTREAMS_PER_ENTRY = 24
+MAX_ENTRY_NEIGHBOURS = 8
+STALE_AFTER_S = 6.0
+STALE_STEP_S = 0.5
+MAX_STALE_RANK = 40
+
+
+def reader_ranking(document: SiteDocument, zone: str) -> list[str]:
+    """Rank the processes of an availability zone as readers of the config service."""
+    members = [i.id for i in document.register.instances if i.zone == zone]
+    return rank_members(f"reader/{zone}", members)
+
+
+def should_read(
+    me: str,
+    ranking: list[str],
+    state_of: Callable[[str], PeerState],
+    service_age_s: float,
+) -> bool:
+    """Say whether to read the service: among the first unsuspected ranks, or all others fail."""
+    if me not in ranking:
+        return True
+    better = ranking[: ranking.index(me)]
+    trusted = [member for member in better if state_of(member) is not PeerState.SUSPECTED]
+    if len(trusted) < READERS_PER_ZONE:
+        return True
+    # Nobody heard of the service for long: step in, staggered by rank to spare it.
+    patience_s = STALE_AFTER_S + STALE_STEP_S * min(len(better), MAX_STALE_RANK)
+    return service_age_s > patience_s
+
+
+def agent_neighbours(document: SiteDocument, me: str) -> list[str]:
+    """Return the peers to which an agent sends heartbeats; their number does not grow."""
+    instance = document.instances[me]
+    found = _reader_candidates(document, instance, me)
+    found += lane_before(document, me)[:2]
+    return _without_repeats(found, me)
+
+
+def entry_neighbours(document: SiteDocument, me: str) -> list[str]:
+    """Return the peers of an entry: readers, some entries, and its share of the upstreams."""
+    instance = document.instances[me]
+    found = _reader_candidates(document, instance, me)
+    entries = [entry.id for entry in document.entries if entry.id != me]
+    found += rank_members(f"entries/{me}", entries)[:MAX_ENTRY_NEIGHBOURS]
+    found += upstreams_of_entry(document, me)
+    return _without_repeats(found, me)
+
+
+def upstreams_of_entry(document: SiteDocument, me: str) -> list[str]:
+    """Return the upstreams an entry routes to: near ones first, some of every pool."""
+    zone = document.instances[me].zone
+    region = document.regions_by_zone[zone]
+    found: list[str] = []
+    for pool in document.register.pools:
+        members = [i for i in document.upstreams if i.pool == pool.name]
+        ranked = rank_members(f"subset/{me}/{pool.name}", [i.id for i in members])
+        ranked.sort(key=lambda id: _distance(document, document.instances[id], zone, region))
+        near = ranked[: MAX_UPSTREAMS_PER_ENTRY * 2 // 3]
+        far = rank_members(f"subset/{me}/{pool.name}", set(ranked) - set(near))
+        found += near + far[: MAX_UPSTREAMS_PER_ENTRY - len(near)]
+    return found
+
+
+def _distance(document: SiteDocument, instance: Instance, zone: str, region: str) -> int:
+    if instance.zone == zone:
+        return 0
+    return 1 if document.region_of(instance) == region else 2
+
+
+def _reader_candidates(document: SiteDocument, instance: Instance, me: str) -> list[str]:
+    ranking = reader_ranking(document, instance.zone)
+    return [member for member in ranking if member != me][:READER_CANDIDATES]
+
+
+def _without_repeats(ids: list[str], me: str) -> list[str]:
+    return [member for member in dict.fromkeys(ids) if member != me]
--- /dev/null
+++ b/daisystack/core/regions.py
@@ -0,0 +1,64 @@
+"""Spread the chunks of a version over the links between regions."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from attrs import field, frozen
+
+from daisystack.core.register import RegionPair
+
+__all__ = ["RegionTrees"]
+
+GOLDEN_RATIO = 0.6180339887498949
+
+
+@frozen
+class RegionTrees:
+    """Choose for each chunk a tree over regions, rooted where the origin stands.
+
+    In the tree of far region f the origin's region feeds f, and f feeds every other far region.
+    Chunks are dealt to trees in proportion to the slowest link of each tree, so all links of a
+    tree finish together; with n equal regions each link carries 1/(n-1) of a copy.
+    """
+
+    origin_region: str
+    far_regions: tuple[str, ...]
+    weights: tuple[float, ...] = field()
+
+    @classmethod
+    def build(
+        cls, origin_region: str, regions: Sequence[str], pairs: Sequence[RegionPair]
+    ) -> RegionTrees:
+        """Weigh one tree per far region by the rate of its slowest link."""
+        far = tuple(sorted(set(regions) - {origin_region}))
+        rates = {frozenset((pair.a, pair.b)): pair.bytes_per_s for pair in pairs}
+        slowest = [
+            min(
+                rates.get(frozenset((hub, other)), 1.0)
+                for other in (origin_region, *far)
+                if other != hub
+            )
+            for hub in far
+        ]
+        total = sum(slowest)
+        if not total:
+            return cls(origin_region, far, tuple(1.0 / len(far) for _ in far))
+        return cls(origin_region, far, tuple(rate / total for rate in slowest))
+
+    def hub(self, chunk_index: int) -> str:
+        """Return the far region that the origin's region feeds with a chunk."""
+        # Multiples of the golden ratio spread evenly, so each tree is busy from the start.
+        position = (chunk_index * GOLDEN_RATIO) % 1.0
+        for region, weight in zip(self.far_regions, self.weights, strict=True):
+            if position < weight:
+                return region
+            position -= weight
+        return self.far_regions[-1]
+
+    def parent(self, chunk_index: int, region: str) -> str | None:
+        """Return the region that feeds a region with a chunk; None means the origin itself."""
+        if region == self.origin_region:
+            return None
+        hub = self.hub(chunk_index)
+        return self.origin_region if region == hub else hub
--- /dev/null
+++ b/daisystack/core/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rank members for a key so that all processes agree without talking."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ["hash_unit", "rank_members"]
+
+HASH_BYTES = 8
+HASH_SPACE = float(1 << (8 * HASH_BYTES))
+
+
+def hash_unit(*parts: str) -> float:
+    """Hash strings evenly onto [0, 1)."""
+    joined = "\x00".join(parts).encode()
+    digest = hashlib.blake2b(joined, digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big") / HASH_SPACE
+
+
+def rank_members(key: str, members: Iterable[str]) -> list[str]:
+    """Sort members by their rendezvous hash for the key, best first."""
+    return sorted(members, key=lambda member: (hash_unit(key, member), member))
--- /dev/null
+++ b/daisystack/core/requests.py
@@ -0,0 +1,124 @@
+"""Decide what follows each attempt of a request: another, the same owner again, or the end."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+from daisystack.core.retries import RetryBudget
+from daisystack.core.tickets import Ticket
+from daisystack.core.verdicts import AttemptEnd, Verdict, combine_verdicts, judge_attempt
+
+__all__ = [
+    "AttemptOutcome",
+    "Done",
+    "GiveUp",
+    "NextStep",
+    "RequestState",
+    "RetryElsewhere",
+    "RetrySameOwner",
+]
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+LATEST_RETRY_S = 0.05
+
+
+@frozen
+class AttemptOutcome:
+    """Say how an attempt ended, and what the owner said of the ticket if it spoke."""
+
+    end: AttemptEnd
+    instance_id: str | None = None
+    sealed: bool = False
+    reported: Verdict | None = None
+    reason: str = ""
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return the verdict of this attempt alone."""
+        return self.reported if self.reported is not None else judge_attempt(self.end)
+
+
+@frozen
+class RetryElsewhere:
+    """Try another upstream."""
+
+
+@frozen
+class RetrySameOwner:
+    """Ask the owner of the ticket again; it runs the ticket at most once."""
+
+
+@frozen
+class GiveUp:
+    """Answer the caller now with a verdict; retry_after_s None means that asking again is vain."""
+
+    verdict: Verdict
+    end: AttemptEnd
+    reason: str
+    retry_after_s: float | None
+
+
+@frozen
+class Done:
+    """Pass the upstream's answer on."""
+
+
+NextStep = RetryElsewhere | RetrySameOwner | GiveUp | Done
+
+
+@define
+class RequestState:
+    """Hold the attempts of one request at one entry."""
+
+    repeatable: bool
+    deadline_s: float
+    caller_ticket: Ticket | None = None
+    max_attempts: int = MAX_ATTEMPTS
+    outcomes: list[AttemptOutcome] = field(factory=list)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Return the verdict of the request, which speaks of all its attempts everywhere."""
+        if self.outcomes and self.outcomes[-1].sealed:
+            return Verdict.NOT_RUN if self.caller_ticket else self._combined()
+        if self.caller_ticket is not None:
+            # Another entry may have sent this ticket before.
+            return combine_verdicts([Verdict.MAY_HAVE_RUN, self._combined()])
+        return self._combined()
+
+    def _combined(self) -> Verdict:
+        return combine_verdicts(outcome.verdict for outcome in self.outcomes)
+
+    def after(self, outcome: AttemptOutcome, budget: RetryBudget, now_s: float) -> NextStep:
+        """Decide the next step once an attempt has ended and nothing reached the caller."""
+        self.outcomes.append(outcome)
+        if outcome.end is AttemptEnd.ANSWERED:
+            return Done()
+        retry = self._allowed_retry(outcome)
+        out_of_time = now_s >= self.deadline_s - LATEST_RETRY_S
+        if retry is None or out_of_time or len(self.outcomes) >= self.max_attempts:
+            return self.give_up(outcome)
+        if not budget.take():
+            return self.give_up(outcome)
+        return retry
+
+    def give_up(self, outcome: AttemptOutcome) -> GiveUp:
+        """Return the final answer; coming back helps unless the outcome is settled."""
+        settled = outcome.end is AttemptEnd.OUTCOME_LOST
+        verdict = self.verdict
+        may_come_back = verdict is Verdict.NOT_RUN or self.repeatable or self.caller_ticket
+        retry_after_s = RETRY_AFTER_S if may_come_back and not settled else None
+        return GiveUp(verdict, outcome.end, outcome.reason, retry_after_s)
+
+    def _allowed_retry(self, outcome: AttemptOutcome) -> NextStep | None:
+        if self.caller_ticket is not None:
+            is_final = outcome.sealed or outcome.reported is not None
+            return None if is_final else RetrySameOwner()
+        if outcome.verdict is Verdict.NOT_RUN:
+            return RetryElsewhere()
+        if self.repeatable:
+            return RetryElsewhere()
+        if outcome.reported is None:
+            return RetrySameOwner()
+        return None
--- /dev/null
+++ b/daisystack/core/routing.py
@@ -0,0 +1,131 @@
+"""Choose the upstream for a request from own counts, lagging reports and distance."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from attrs import define, field, frozen
+
+from daisystack.core.peers import PeerState, PeerStatus, PeerTable
+from daisystack.core.register import Instance, SiteDocument
+from daisystack.core.rendezvous import hash_unit
+
+__all__ = ["Candidate", "InFlightCounts", "Target", "choose_upstream", "list_candidates"]
+
+DEFAULT_CAPACITY = 8
+AFFINITY_LOAD_BOUND = 1.25
+SPILL_LOAD = 1.0
+
+
+@frozen
+class Target:
+    """Name what a request is for: a model, or a pool of plain services."""
+
+    model: str | None = None
+    pool: str | None = None
+
+
+@frozen
+class Candidate:
+    """Hold what routing needs to know of one upstream."""
+
+    instance: Instance
+    load: float
+    distance: int
+    status: PeerStatus
+
+
+@define
+class InFlightCounts:
+    """Count the own requests at each upstream."""
+
+    _counts: dict[str, int] = field(factory=dict)
+
+    def __getitem__(self, instance_id: str) -> int:
+        return self._counts.get(instance_id, 0)
+
+    def begin(self, instance_id: str) -> None:
+        """Count a request sent."""
+        self._counts[instance_id] = self[instance_id] + 1
+
+    def end(self, instance_id: str) -> None:
+        """Count a request ended, and drop an upstream that has none left."""
+        left = self[instance_id] - 1
+        if left > 0:
+            self._counts[instance_id] = left
+        else:
+            self._counts.pop(instance_id, None)
+
+
+def list_candidates(
+    document: SiteDocument,
+    target: Target,
+    zone: str,
+    peers: PeerTable,
+    in_flight: InFlightCounts,
+    now_s: float,
+) -> list[Candidate]:
+    """Return the upstreams whose gate is known to be open for the target."""
+    allowed = document.zones_by_model.get(target.model) if target.model else None
+    found = []
+    for instance in document.upstreams:
+        if not _is_for(instance, target) or (allowed is not None and instance.zone not in allowed):
+            continue
+        status = peers.status(instance.id)
+        if status is None or peers.state(instance.id, now_s) is PeerState.SUSPECTED:
+            continue
+        if status.leaving or not status.gate_open:
+            continue
+        load = _load(status, in_flight[instance.id])
+        found.append(Candidate(instance, load, _distance(document, zone, instance), status))
+    return found
+
+
+def choose_upstream(
+    candidates: Sequence[Candidate], prefix: str | None, draw: random.Random
+) -> Candidate | None:
+    """Choose near before far and affinity before load, within bounds on load."""
+    near = _nearest_with_room(candidates)
+    if not near:
+        return None
+    if prefix:
+        return _by_affinity(near, prefix)
+    # Two random choices keep entries that share a lagging report from moving as one.
+    pair = draw.sample(near, min(2, len(near)))
+    return min(pair, key=lambda candidate: candidate.load)
+
+
+def _is_for(instance: Instance, target: Target) -> bool:
+    if target.pool is not None:
+        return instance.pool == target.pool
+    return any(serving.model == target.model for serving in instance.serves)
+
+
+def _load(status: PeerStatus, own: int) -> float:
+    capacity = status.capacity or DEFAULT_CAPACITY
+    return max(own, status.in_flight) / capacity
+
+
+def _distance(document: SiteDocument, zone: str, instance: Instance) -> int:
+    if instance.zone == zone:
+        return 0
+    same_region = document.regions_by_zone.get(zone) == document.region_of(instance)
+    return 1 if same_region else 2
+
+
+def _nearest_with_room(candidates: Sequence[Candidate]) -> list[Candidate]:
+    for distance in sorted({candidate.distance for candidate in candidates}):
+        reachable = [c for c in candidates if c.distance <= distance]
+        if min(c.load for c in reachable) < SPILL_LOAD:
+            return reachable
+    return list(candidates)
+
+
+def _by_affinity(near: Sequence[Candidate], prefix: str) -> Candidate:
+    mean = sum(candidate.load for candidate in near) / len(near)
+    ranked = sorted(near, key=lambda c: (hash_unit(prefix, c.instance.id), c.instance.id))
+    for candidate in ranked:
+        if candidate.load <= AFFINITY_LOAD_BOUND * mean or candidate.load == 0:
+            return candidate
+    return min(near, key=lambda candidate: candidate.load)
--- /dev/null
+++ b/daisystack/core/transfer.py
@@ -0,0 +1,141 @@
+"""Decide what an agent asks of whom next while it fetches one version."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+from daisystack.core.distribution import DistributionPlan
+from daisystack.core.manifests import Manifest
+
+__all__ = ["PeerWish", "TransferState"]
+
+AVOID_FAILED_S = 3.0
+AVOID_CORRUPT_S = 600.0
+MAX_TAKEOVERS_CHECKED = 64
+
+
+@frozen
+class PeerWish:
+    """Name the chunks to ask of one instance."""
+
+    instance_id: str
+    indexes: frozenset[int]
+
+
+@define
+class _Feed:
+    """Hold which region a chunk is asked of, and since when."""
+
+    level: int = 0
+    asked_s: float | None = None
+
+
+@define
+class TransferState:
+    """Hold the progress of one version on one instance."""
+
+    plan: DistributionPlan
+    manifest: Manifest
+    started_s: float
+    progress_s: float
+    missing: set[int]
+    reused_bytes: int = 0
+    origin_pulled: int = 0
+    _busy: set[int] = field(factory=set)
+    _feeds: dict[int, _Feed] = field(factory=dict)
+    _region_progress_s: dict[str, float] = field(factory=dict)
+    _avoided_until_s: dict[str, float] = field(factory=dict)
+    _asked_neighbours: set[int] = field(factory=set)
+
+    @property
+    def is_complete(self) -> bool:
+        """Say whether all chunks are held and verified."""
+        return not self.missing
+
+    def ring_wish(self, lane: int, lanes: int, now_s: float) -> PeerWish | None:
+        """Return what one of several parallel pulls may ask of the nearest earlier member."""
+        source = next((m for m in self.plan.predecessors if not self._is_avoided(m, now_s)), None)
+        wanted = frozenset(i for i in self.missing - self._busy if i % lanes == lane)
+        return PeerWish(source, wanted) if source is not None and wanted else None
+
+    def region_wish(self, region: str, now_s: float) -> PeerWish | None:
+        """Return what to ask of another region, from the member that brought it there."""
+        wanted = [i for i in self._to_bring_in(now_s) if self._region(i, now_s) == region]
+        if not wanted:
+            return None
+        member = self._sender(wanted[0], region, now_s)
+        same = [i for i in wanted if self._sender(i, region, now_s) == member]
+        return PeerWish(member, frozenset(same))
+
+    def origin_wish(self, now_s: float) -> int | None:
+        """Return a chunk to pull from the store or the origin, within the own share."""
+        if not self._may_pull_origin():
+            return None
+        for index in self._to_bring_in(now_s):
+            if index not in self._busy and self._region(index, now_s) is None:
+                return index
+        return None
+
+    def neighbours_to_ask(self, index: int, now_s: float) -> list[str]:
+        """Return who may hold a chunk already, so that the origin need not send it twice."""
+        if index in self._asked_neighbours:
+            return []
+        self._asked_neighbours.add(index)
+        ends = [*self.plan.predecessors[-1:], *self.plan.predecessors[:1]]
+        return [m for m in dict.fromkeys(ends) if not self._is_avoided(m, now_s)]
+
+    def begin(self, index: int) -> None:
+        """Record that a pull from the origin is under way."""
+        self._busy.add(index)
+
+    def end(self, index: int) -> None:
+        """Record that a pull from the origin has ended, with or without the chunk."""
+        self._busy.discard(index)
+
+    def arrived(self, index: int, region: str | None, now_s: float) -> None:
+        """Record a verified chunk and the region it came from."""
+        self.missing.discard(index)
+        self._feeds.pop(index, None)
+        self.progress_s = now_s
+        if region is not None:
+            self._region_progress_s[region] = now_s
+
+    def avoid(self, member: str, corrupt: bool, now_s: float) -> None:
+        """Leave a member alone for a while, longer when it sent wrong bytes."""
+        pause_s = AVOID_CORRUPT_S if corrupt else AVOID_FAILED_S
+        self._avoided_until_s[member] = now_s + pause_s
+
+    def _may_pull_origin(self) -> bool:
+        return self.plan.origin_budget(len(self.manifest.chunks)).allows(self.origin_pulled)
+
+    def _to_bring_in(self, now_s: float) -> list[int]:
+        """Return the chunks this instance should bring into its region now."""
+        size = len(self.plan.ring)
+        place = self.plan.ring.index(self.plan.me)
+        designated = sorted(i for i in self.missing if i % size == place)
+        stalled_s = now_s - self.progress_s
+        if stalled_s < self.plan.takeover_s:
+            return designated
+        others = sorted(i for i in self.missing if i % size != place)[:MAX_TAKEOVERS_CHECKED]
+        return designated + [i for i in others if stalled_s >= self.plan.takeover_delay_s(i)]
+
+    def _region(self, index: int, now_s: float) -> str | None:
+        """Return the region to ask for a chunk, the next one when that region brings nothing."""
+        feed = self._feeds.setdefault(index, _Feed())
+        regions = self.plan.feeding_regions(index)
+        region = regions[feed.level % len(regions)]
+        if feed.asked_s is None:
+            feed.asked_s = now_s
+        heard_s = max(feed.asked_s, self._region_progress_s.get(region or "", 0.0))
+        if now_s - heard_s > self.plan.takeover_s and len(regions) > 1:
+            feed.level += 1
+            feed.asked_s = now_s
+            region = regions[feed.level % len(regions)]
+        return region
+
+    def _sender(self, index: int, region: str, now_s: float) -> str:
+        members = self.plan.fetchers(index, region)
+        return next((m for m in members if not self._is_avoided(m, now_s)), members[0])
+
+    def _is_avoided(self, member: str, now_s: float) -> bool:
+        return self._avoided_until_s.get(member, 0.0) > now_s
--- /dev/null
+++ b/daisystack/core/verdicts.py
@@ -0,0 +1,64 @@
+"""Decide whether a request may have run, in one place for every outcome."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+
+__all__ = ["AttemptEnd", "Verdict", "combine_verdicts", "judge_attempt"]
+
+
+class Verdict(enum.Enum):
+    """Say whether a request may have run."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class AttemptEnd(enum.Enum):
+    """Name the point at which one attempt at an upstream ended."""
+
+    NO_UPSTREAM = "no_upstream"
+    SHED = "shed"
+    DEADLINE_IN_QUEUE = "deadline_in_queue"
+    CONNECT_FAILED = "connect_failed"
+    REFUSED_AT_GATE = "refused_at_gate"
+    NEVER_ARRIVED = "never_arrived"
+    SEND_FAILED = "send_failed"
+    NO_ANSWER = "no_answer"
+    ANSWER_CUT = "answer_cut"
+    ANSWER_MIXED = "answer_mixed"
+    CALLER_GONE = "caller_gone"
+    OUTCOME_LOST = "outcome_lost"
+    ANSWERED = "answered"
+
+
+_BEFORE_ANY_BYTE = frozenset(
+    {
+        AttemptEnd.NO_UPSTREAM,
+        AttemptEnd.SHED,
+        AttemptEnd.DEADLINE_IN_QUEUE,
+        AttemptEnd.CONNECT_FAILED,
+        AttemptEnd.REFUSED_AT_GATE,
+        AttemptEnd.NEVER_ARRIVED,
+    }
+)
+
+
+def judge_attempt(end: AttemptEnd) -> Verdict:
+    """Return the verdict that one attempt's end allows."""
+    if end in _BEFORE_ANY_BYTE:
+        return Verdict.NOT_RUN
+    if end is AttemptEnd.ANSWERED:
+        return Verdict.RAN
+    return Verdict.MAY_HAVE_RUN
+
+
+def combine_verdicts(verdicts: Iterable[Verdict]) -> Verdict:
+    """Return the verdict of a request from those of all its attempts."""
+    seen = set(verdicts)
+    for verdict in (Verdict.RAN, Verdict.MAY_HAVE_RUN):
+        if verdict in seen:
+            return verdict
+    return Verdict.NOT_RUN
--- /dev/null
+++ b/daisystack/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Run the daemons: tasks that own sockets and state."""
--- /dev/null
+++ b/daisystack/runtime/agent.py
@@ -0,0 +1,180 @@
+"""Run the daemon in an upstream instance's slot."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import define, field
+
+from daisystack.backends import (
+    HttpEndpoint,
+    HttpModelEngine,
+    HttpPlainService,
+    HttpWeightSource,
+)
+from daisystack.core.chunk_store import ChunkStore
+from daisystack.core.config_keeper import AcceptedConfig
+from daisystack.core.idempotency import IdempotencyTable, RecordState
+from daisystack.core.peers import PeerStatus
+from daisystack.core.readers import agent_neighbours
+from daisystack.core.settings import AgentSettings
+from daisystack.runtime.chunk_server import ChunkServer
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.daemon import Daemon, PeerHandler
+from daisystack.runtime.engine_task import EngineTask
+from daisystack.runtime.forwarder import Forwarder
+from daisystack.runtime.transfer_task import TransferTask
+from daisystack.runtime.upstream_http import UpstreamHttp
+from daisystack.runtime.web import Request, Response, Route
+from daisystack.wire.gen import ttypes
+
+__all__ = ["Agent", "run_agent"]
+
+
+@define(eq=False)
+class Agent:
+    """Own one upstream: its weights, its orders, its gate and its tickets."""
+
+    settings: AgentSettings
+    daemon: Daemon = field(init=False)
+    server: ChunkServer = field(init=False)
+    transfers: TransferTask = field(init=False)
+    engine: EngineTask = field(init=False)
+    forwarder: Forwarder = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.daemon = Daemon(
+            "agent", settings, self._fill_status, agent_neighbours, lambda: self.engine.gate.is_open
+        )
+        self.daemon.more_status = self._more_status
+        store = ChunkStore(settings.max_chunk_bytes_held)
+        self.server = ChunkServer(settings.id, store, lambda: self.daemon.document)
+        sources = tuple(
+            HttpWeightSource(HttpEndpoint(address))
+            for address in (settings.store_address, settings.origin_address)
+        )
+        self.transfers = TransferTask(settings.id, store, self.server, sources)
+        self.engine = EngineTask(
+            self.daemon,
+            HttpModelEngine(HttpEndpoint(settings.upstream_address), now_s),
+            self.transfers,
+            lambda: self.forwarder.in_flight,
+            settings.drain_s,
+        )
+        self.forwarder = self._make_forwarder()
+        self.daemon.config.on_accepted.append(self._take_config)
+
+    def start(self) -> None:
+        """Listen and start the tasks."""
+        routes = [
+            Route("POST", "/v1/forward/", self.forwarder.handle),
+            Route("GET", "/v1/staged/", self._staged),
+            Route("GET", "/metrics", self._metrics),
+        ]
+        self.daemon.start(routes, AgentPeerHandler(self.daemon, self))
+        self.engine.start()
+
+    def _make_forwarder(self) -> Forwarder:
+        settings = self.settings
+        return Forwarder(
+            self.daemon,
+            self.engine,
+            UpstreamHttp(settings.upstream_address, settings.progress_timeout_s),
+            IdempotencyTable(
+                settings.id, self.daemon.incarnation, max_records=settings.max_tickets
+            ),
+            settings,
+        )
+
+    def _take_config(self, config: AcceptedConfig) -> None:
+        document = config.document
+        instance = document.instances.get(self.settings.id)
+        if instance is None:
+            return
+        pool = document.pools[instance.pool]
+        if pool.kind.value == "service":
+            endpoint = HttpEndpoint(self.settings.upstream_address)
+            self.engine.engine = HttpPlainService(endpoint, now_s)
+        self.transfers.take_document(document)
+
+    def _fill_status(self, status: PeerStatus, at_s: float) -> PeerStatus:
+        transfers = self.transfers.transfers.values()
+        report = self.engine.report
+        return attrs.evolve(
+            status,
+            gate_open=self.engine.gate.is_open,
+            serving=report.serving if report else frozenset(),
+            in_flight=self.forwarder.in_flight,
+            capacity=self.settings.capacity,
+            chunks_held=sum(t.chunks_held for t in transfers),
+            chunks_wanted=sum(t.chunks_wanted for t in transfers),
+            loading=self.engine.is_loading,
+        )
+
+    def _more_status(self) -> dict:
+        transfers = self.transfers.transfers.values()
+        return {
+            "gate": self.engine.gate.reason.value,
+            "intended": [f"{ref.model}@{ref.version}" for ref in self.transfers.transfers],
+            "chunk_bytes_sent": self.server.sent_bytes,
+            "chunk_bytes_received": sum(t.received_bytes for t in transfers),
+            "region_bytes_sent": self.server.sent_bytes_by_region,
+            "tickets": len(self.forwarder.table),
+        }
+
+    def _staged(self, request: Request, rest: str) -> Response:
+        kind, _, digest = rest.partition("/")
+        body = None
+        if kind == "manifests" and digest in self.server.manifests:
+            body = self.server.manifests[digest][0]
+        elif kind == "chunks":
+            body = self.server.store.get(digest)
+        if body is None:
+            return Response(404, b"not staged\n", "text/plain")
+        return Response(200, body, "application/octet-stream")
+
+    def _metrics(self, request: Request, rest: str) -> Response:
+        self._gauges()
+        return self.daemon.render_metrics(request)
+
+    def _gauges(self) -> None:
+        set_gauge = self.daemon.set_gauge
+        set_gauge("gate_open", "1 when requests pass", float(self.engine.gate.is_open))
+        set_gauge("in_flight", "Requests at the upstream", self.forwarder.in_flight)
+        set_gauge("tickets", "Tickets remembered", len(self.forwarder.table))
+        set_gauge("chunk_bytes_held", "Bytes of chunks", self.server.store.held_bytes)
+        set_gauge("chunk_bytes_sent", "Bytes of chunks sent to peers", self.server.sent_bytes)
+        for region, sent_bytes in self.server.sent_bytes_by_region.items():
+            name = "region_bytes_sent"
+            set_gauge(name, "Bytes of chunks sent to a region", sent_bytes, {"region": region})
+
+
+@define(eq=False)
+class AgentPeerHandler(PeerHandler):
+    """Answer peers for weights and tickets as well."""
+
+    agent: Agent
+
+    def manifest(self, manifest_digest: str) -> bytes:
+        """Return a manifest's bytes, empty when it is not held."""
+        known = self.agent.server.manifests.get(manifest_digest)
+        return known[0] if known else b""
+
+    def chunk(self, ask: ttypes.ChunkAsk) -> ttypes.Chunk:
+        """Return one of the wanted chunks."""
+        return self.agent.server.serve(ask)
+
+    def seal(self, ask: ttypes.SealAsk) -> ttypes.SealAnswer:
+        """Seal a ticket that never arrived."""
+        try:
+            outcome = self.agent.forwarder.seal(ask.ticket)
+        except ValueError:
+            return ttypes.SealAnswer(RecordState.UNKNOWN.value)
+        return ttypes.SealAnswer(outcome.state.value)
+
+
+def run_agent(settings: AgentSettings) -> None:
+    """Run an agent until it is asked to stop and its requests have ended."""
+    agent = Agent(settings)
+    agent.start()
+    agent.daemon.run_until_stopped(lambda: agent.forwarder.in_flight, 0.0)
--- /dev/null
+++ b/daisystack/runtime/chunk_server.py
@@ -0,0 +1,105 @@
+"""Serve held chunks to peers under the rates of the links."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+from eventlet.event import Event
+
+from daisystack.core.chunk_store import ChunkStore
+from daisystack.core.manifests import Manifest
+from daisystack.core.pacing import TokenBucket
+from daisystack.core.register import SiteDocument
+from daisystack.runtime.clock import now_s
+from daisystack.wire.convert import unpack_bits
+from daisystack.wire.gen import ttypes
+
+__all__ = ["ChunkServer"]
+
+MAX_WAIT_S = 2.0
+MS_PER_S = 1000
+BURST_S = 0.25
+MIN_BURST_BYTES = 65_536.0
+
+
+@define(eq=False)
+class ChunkServer:
+    """Own the pacing of outgoing chunks; waits for chunks that have not come yet."""
+
+    me: str
+    store: ChunkStore
+    document: Callable[[], SiteDocument | None]
+    manifests: dict[str, tuple[bytes, Manifest]] = field(factory=dict)
+    sent_bytes: int = 0
+    sent_bytes_by_region: dict[str, int] = field(factory=dict)
+    _arrival: Event = field(factory=Event)
+    _buckets: dict[tuple[str, float], TokenBucket] = field(factory=dict)
+
+    def chunk_arrived(self) -> None:
+        """Wake the peers that wait for chunks."""
+        arrival, self._arrival = self._arrival, Event()
+        arrival.send()
+
+    def serve(self, ask: ttypes.ChunkAsk) -> ttypes.Chunk:
+        """Return one of the wanted chunks, waiting for it within bounds."""
+        deadline_s = now_s() + min(ask.wait_ms / MS_PER_S, MAX_WAIT_S)
+        wanted = sorted(unpack_bits(ask.wanted))
+        while True:
+            arrival = self._arrival
+            found = self._find(ask.manifest_digest, wanted)
+            if found is not None:
+                self._pace(ask.from_instance, len(found.body))
+                return found
+            left_s = deadline_s - now_s()
+            if left_s <= 0:
+                return ttypes.Chunk(-1, b"")
+            with eventlet.Timeout(left_s, False):
+                arrival.wait()
+
+    def _find(self, manifest_digest: str, wanted: list[int]) -> ttypes.Chunk | None:
+        known = self.manifests.get(manifest_digest)
+        if known is None:
+            return None
+        chunks = known[1].chunks
+        for index in wanted:
+            body = self.store.get(chunks[index].digest) if index < len(chunks) else None
+            if body is not None:
+                return ttypes.Chunk(index, body)
+        return None
+
+    def _pace(self, asker: str, size_bytes: int) -> None:
+        document = self.document()
+        self.sent_bytes += size_bytes
+        if document is None or self.me not in document.instances:
+            return
+        links = document.rules.links
+        delay_s = self._bucket("instance", links.instance_bytes_per_s).delay_s(size_bytes, now_s())
+        instance = document.instances.get(asker)
+        here = document.region_of(document.instances[self.me])
+        there = document.region_of(instance) if instance is not None else here
+        if there != here:
+            sent_bytes = self.sent_bytes_by_region.get(there, 0) + size_bytes
+            self.sent_bytes_by_region[there] = sent_bytes
+            bucket = self._bucket(there, self._region_share(document, here, there))
+            delay_s = max(delay_s, bucket.delay_s(size_bytes, now_s()))
+        if delay_s:
+            eventlet.sleep(delay_s)
+
+    def _region_share(self, document: SiteDocument, here: str, there: str) -> float:
+        pool = document.instances[self.me].pool
+        senders = sum(
+            1 for i in document.upstreams if i.pool == pool and document.region_of(i) == here
+        )
+        for pair in document.rules.links.region_pairs:
+            if {pair.a, pair.b} == {here, there}:
+                return pair.bytes_per_s / max(1, senders)
+        return 0.0
+
+    def _bucket(self, name: str, bytes_per_s: float) -> TokenBucket:
+        key = (name, bytes_per_s)
+        if key not in self._buckets:
+            burst_bytes = max(MIN_BURST_BYTES, BURST_S * bytes_per_s)
+            self._buckets[key] = TokenBucket(bytes_per_s, burst_bytes)
+        return self._buckets[key]
--- /dev/null
+++ b/daisystack/runtime/clock.py
@@ -0,0 +1,26 @@
+"""Read the clocks; decisions take the result as an argument."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+__all__ = ["new_incarnation", "now_s", "wall_clock_s"]
+
+INCARNATION_TIME_DIGITS = 12
+
+
+def now_s() -> float:
+    """Return the monotonic time."""
+    return time.monotonic()
+
+
+def wall_clock_s() -> float:
+    """Return the wall-clock time, for people to read and never to decide on."""
+    return time.time()
+
+
+def new_incarnation() -> str:
+    """Name this life of the process; later lives on the same machine usually sort higher."""
+    started_ms = int(time.time() * 1000)
+    return f"{started_ms:0{INCARNATION_TIME_DIGITS}x}{secrets.token_hex(4)}"
--- /dev/null
+++ b/daisystack/runtime/config_task.py
@@ -0,0 +1,227 @@
+"""Own the configuration: take offers from the service and from peers, and tell who listens."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import eventlet
+from attrs import define, field, frozen
+from eventlet.queue import Empty, Queue
+
+from daisystack.backends import BackendError, ConfigService
+from daisystack.core.audit import AuditAction, AuditEvent, AuditTrail
+from daisystack.core.bootstrap import Bootstrap
+from daisystack.core.config_keeper import (
+    AcceptedConfig,
+    ConfigAccepted,
+    ConfigIgnored,
+    ConfigKeeper,
+    ConfigRefused,
+    Published,
+)
+from daisystack.runtime.clock import now_s, wall_clock_s
+from daisystack.runtime.events import PeerPullFailed, ServiceReadFailed
+from daisystack.runtime.logs import log_event, record_audit
+from daisystack.runtime.peer_link import PeerError, PeerLink
+
+__all__ = ["ConfigTask", "DocumentShown", "PeerAsked", "RevisionSeen"]
+
+WATCH_S = 10.0
+TICK_S = 0.25
+RETRY_MIN_S = 1.0
+RETRY_MAX_S = 15.0
+PULL_TIMEOUT_S = 5.0
+
+_logger = logging.getLogger("daisystack.config")
+
+
+@frozen
+class DocumentShown:
+    """Offer a document from a source."""
+
+    published: Published
+    source: str
+
+
+@frozen
+class RevisionSeen:
+    """Report a peer's revision, which may be newer than ours."""
+
+    peer_address: str
+    revision: int
+
+
+@frozen
+class PeerAsked:
+    """Report that a peer was asked at start and what revision it has; None means no answer."""
+
+    peer_address: str
+    revision: int | None
+
+
+Message = DocumentShown | RevisionSeen | PeerAsked
+
+
+@define(eq=False)
+class ConfigTask:
+    """Own the config keeper; reads no socket but those of its watch and its pulls."""
+
+    who: str
+    service: ConfigService
+    trail: AuditTrail
+    bootstrap: Bootstrap
+    inbox: Queue = field(factory=Queue)
+    on_accepted: list[Callable[[AcceptedConfig], None]] = field(factory=list)
+    keeper: ConfigKeeper = field(factory=ConfigKeeper)
+    may_read: Callable[[], bool] = lambda: True
+    service_contact_s: float | None = None
+    confirmed_s: float | None = None
+    service_calls: int = 0
+    refused_count: int = 0
+    _pulling: set[str] = field(factory=set)
+
+    def start(self) -> None:
+        """Start the task and its watch of the service."""
+        eventlet.spawn(self._run)
+        eventlet.spawn(self._watch)
+
+    def service_age_s(self, at_s: float) -> float:
+        """Return the time since any process was known to reach the service."""
+        return at_s - self.service_contact_s if self.service_contact_s is not None else 1e9
+
+    def confirmed_after(self, at_s: float) -> bool:
+        """Say whether a peer or the service has confirmed the revision since."""
+        return self.confirmed_s is not None and self.confirmed_s >= at_s
+
+    def peer_confirms(self, revision: int, at_s: float) -> None:
+        """Record a peer that is configured and knows no newer revision."""
+        if 0 < revision <= self.keeper.revision:
+            self.confirmed_s = at_s
+
+    def heard_service_age(self, age_s: float, at_s: float) -> None:
+        """Record how long ago a peer knew the service to answer."""
+        contact_s = at_s - age_s
+        if self.service_contact_s is None or contact_s > self.service_contact_s:
+            self.service_contact_s = contact_s
+
+    def _run(self) -> None:
+        while True:
+            with contextlib.suppress(Empty):
+                self._take(self.inbox.get(timeout=TICK_S))
+            if self.bootstrap.is_over(now_s()):
+                held = self.bootstrap.release()
+                if held is not None:
+                    self._offer(held, "start")
+
+    @singledispatchmethod
+    def _take(self, message: Message) -> None:
+        raise TypeError(f"got {type(message).__name__}, allowed are {Message}")
+
+    @_take.register
+    def _(self, message: DocumentShown) -> None:
+        if self.bootstrap.is_over(now_s()):
+            self._offer(message.published, message.source)
+        else:
+            self.bootstrap.hold(message.published)
+
+    @_take.register
+    def _(self, message: RevisionSeen) -> None:
+        self._pull_if_newer(message.peer_address, message.revision)
+
+    @_take.register
+    def _(self, message: PeerAsked) -> None:
+        if not message.revision:
+            self.bootstrap.peer_done(message.peer_address)
+        else:
+            self._pull_if_newer(message.peer_address, message.revision)
+
+    def _pull_if_newer(self, address: str, revision: int) -> None:
+        if revision <= self.keeper.revision or address in self._pulling:
+            return
+        self._pulling.add(address)
+        eventlet.spawn(self._pull, address)
+
+    def _pull(self, address: str) -> None:
+        link = PeerLink(address, timeout_s=PULL_TIMEOUT_S)
+        try:
+            document = link.call("document", self.keeper.revision)
+            if document.revision:
+                published = Published(document.revision, document.body)
+                self.inbox.put(DocumentShown(published, f"peer {address}"))
+        except PeerError as error:
+            log_event(_logger, PeerPullFailed(address, str(error)))
+        finally:
+            link.close()
+            self._pulling.discard(address)
+            self.inbox.put(PeerAsked(address, None))
+
+    def _offer(self, published: Published, source: str) -> None:
+        self._settle(self.keeper.offer(published, source, now_s()))
+
+    @singledispatchmethod
+    def _settle(self, outcome) -> None:
+        raise TypeError(f"got {type(outcome).__name__}")
+
+    @_settle.register
+    def _(self, outcome: ConfigIgnored) -> None:
+        return
+
+    @_settle.register
+    def _(self, outcome: ConfigAccepted) -> None:
+        before, after = outcome.previous_revision, outcome.config.revision
+        self._audit(AuditAction.CONFIG_ACCEPTED, before, after, f"from {outcome.source}")
+        self.confirmed_s = outcome.config.accepted_s
+        for listener in self.on_accepted:
+            listener(outcome.config)
+
+    @_settle.register
+    def _(self, outcome: ConfigRefused) -> None:
+        self.refused_count += 1
+        reason = f"from {outcome.source}: " + "; ".join(outcome.faults)
+        revision = self.keeper.revision
+        self._audit(AuditAction.CONFIG_REFUSED, outcome.revision, revision, reason)
+
+    def _audit(self, action: AuditAction, before: int, after: int, outcome: str) -> None:
+        event = AuditEvent(
+            who=self.who,
+            what=action,
+            when_s=wall_clock_s(),
+            revision=self.keeper.revision,
+            before=f"revision {before}",
+            after=f"revision {after}",
+            outcome=outcome,
+        )
+        record_audit(self.trail, event)
+
+    def _watch(self) -> None:
+        pause_s = RETRY_MIN_S
+        while True:
+            if not self.may_read():
+                eventlet.sleep(RETRY_MIN_S)
+                continue
+            try:
+                self._read_once()
+                pause_s = RETRY_MIN_S
+            except BackendError as error:
+                log_event(_logger, ServiceReadFailed(str(error)))
+                eventlet.sleep(pause_s * random.uniform(0.75, 1.25))
+                pause_s = min(RETRY_MAX_S, 2 * pause_s)
+
+    def _read_once(self) -> None:
+        # A refused revision is not asked for again; the next one is.
+        after = max(self.keeper.revision, self.keeper.highest_refused)
+        # The first read must not wait, since it tells whether the service is there.
+        wait_s = WATCH_S if self.service_contact_s is not None else 0.0
+        self.service_calls += 1
+        asked_s = now_s()
+        published = self.service.watch(after, wait_s)
+        self.heard_service_age(now_s() - asked_s if published is None else 0.0, now_s())
+        if published is None and self.keeper.current is not None:
+            self.confirmed_s = asked_s
+        if published is not None:
+            self.inbox.put(DocumentShown(published, "config service"))
+            eventlet.sleep(TICK_S)
--- /dev/null
+++ b/daisystack/runtime/daemon.py
@@ -0,0 +1,219 @@
+"""Put together what both daemons have in common."""
+
+from __future__ import annotations
+
+import json
+import logging
+import signal
+import sys
+from collections.abc import Callable
+
+import attrs
+import eventlet
+from aioprometheus import Gauge, Registry, render
+from attrs import define, field
+
+from daisystack.backends import HttpConfigService, HttpEndpoint
+from daisystack.core.addresses import parse_address
+from daisystack.core.audit import AuditAction, AuditEvent, AuditTrail
+from daisystack.core.bootstrap import Bootstrap
+from daisystack.core.peers import PeerStatus
+from daisystack.core.readers import reader_ranking, should_read
+from daisystack.core.register import SiteDocument
+from daisystack.core.settings import AgentSettings, EntrySettings
+from daisystack.runtime.clock import new_incarnation, now_s, wall_clock_s
+from daisystack.runtime.config_task import ConfigTask
+from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
+from daisystack.runtime.heartbeat_task import HeartbeatTask
+from daisystack.runtime.logs import log_event, record_audit
+from daisystack.runtime.peer_link import serve_peers
+from daisystack.runtime.web import Request, Response, Route, json_response, serve_http
+from daisystack.wire.convert import status_from_wire, status_to_wire
+from daisystack.wire.gen import ttypes
+
+__all__ = ["Daemon", "PeerHandler"]
+
+STOP_POLL_S = 0.05
+
+_logger = logging.getLogger("daisystack.daemon")
+
+
+@define(eq=False)
+class Daemon:
+    """Own the tasks of a process; entry and agent add their own."""
+
+    role: str
+    settings: EntrySettings | AgentSettings
+    fill_status: Callable[[PeerStatus, float], PeerStatus]
+    choose_neighbours: Callable[[SiteDocument, str], list[str]]
+    is_ready: Callable[[], bool]
+    more_status: Callable[[], dict] = dict
+    incarnation: str = field(factory=new_incarnation)
+    started_s: float = field(factory=now_s)
+    leaving: bool = False
+    trail: AuditTrail = field(factory=AuditTrail)
+    registry: Registry = field(factory=Registry)
+    _gauges: dict[str, Gauge] = field(factory=dict)
+    config: ConfigTask = field(init=False)
+    heartbeats: HeartbeatTask = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        service = HttpConfigService(HttpEndpoint(settings.config_address))
+        seeds = tuple(peer for peer in settings.peers if peer != settings.peer_address)
+        self.config = ConfigTask(
+            settings.id, service, self.trail, Bootstrap(set(seeds), self.started_s)
+        )
+        self.config.may_read = self._may_read
+        self.heartbeats = HeartbeatTask(
+            settings.id, self.config, seeds, self.own_status, self.choose_neighbours
+        )
+
+    @property
+    def document(self) -> SiteDocument | None:
+        """Return the document in force."""
+        current = self.config.keeper.current
+        return current.document if current else None
+
+    def uptime_s(self, at_s: float) -> float:
+        """Return the time since this life began."""
+        return at_s - self.started_s
+
+    def own_status(self, at_s: float) -> PeerStatus:
+        """Return what heartbeats say of this process."""
+        status = PeerStatus(
+            instance_id=self.settings.id,
+            incarnation=self.incarnation,
+            uptime_s=self.uptime_s(at_s),
+            revision=self.config.keeper.revision,
+            leaving=self.leaving,
+            service_age_s=self.config.service_age_s(at_s),
+        )
+        return self.fill_status(status, at_s)
+
+    def audit(self, action: AuditAction, before: str, after: str, outcome: str) -> None:
+        """Record a change that this process made."""
+        revision = self.config.keeper.revision
+        who = self.settings.id
+        event = AuditEvent(who, action, wall_clock_s(), revision, before, after, outcome)
+        record_audit(self.trail, event)
+
+    def start(self, routes: list[Route], handler: PeerHandler) -> None:
+        """Listen and start the tasks; raises OSError when an address can't be bound."""
+        settings = self.settings
+        serve_peers(parse_address(settings.peer_address), handler)
+        serve_http(parse_address(settings.http_address), [*routes, *self._common_routes()])
+        self.config.start()
+        self.heartbeats.start()
+        started = DaemonStarted(
+            self.role,
+            settings.zone,
+            settings.http_address,
+            settings.peer_address,
+            self.incarnation,
+        )
+        log_event(_logger, started)
+
+    def run_until_stopped(self, in_flight: Callable[[], int], linger_s: float) -> None:
+        """Wait for SIGTERM, then drain: refuse nothing that may still come, cut nothing off."""
+        stop = eventlet.event.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: stop.ready() or stop.send())
+        while not stop.ready():
+            eventlet.sleep(STOP_POLL_S)
+        self.leaving = True
+        self.audit(AuditAction.LEAVING, "serving", "leaving", "asked to stop")
+        self.heartbeats.tell_all()
+        log_event(_logger, DaemonStopping(in_flight(), linger_s))
+        asked_s = now_s()
+        while in_flight() or now_s() - asked_s < linger_s:
+            eventlet.sleep(STOP_POLL_S)
+        log_event(_logger, DaemonStopped(in_flight()))
+        sys.stderr.flush()
+
+    def set_gauge(
+        self, name: str, doc: str, value: float, labels: dict[str, str] | None = None
+    ) -> None:
+        """Set a gauge in the own registry, making it at first use."""
+        if name not in self._gauges:
+            self._gauges[name] = Gauge(f"daisystack_{name}", doc, registry=self.registry)
+        self._gauges[name].set(labels or {}, value)
+
+    def _may_read(self) -> bool:
+        document = self.document
+        if document is None:
+            return True
+        ranking = reader_ranking(document, self.settings.zone)
+        age_s = self.config.service_age_s(now_s())
+        return should_read(self.settings.id, ranking, self.heartbeats.state, age_s)
+
+    def _common_routes(self) -> list[Route]:
+        return [
+            Route("GET", "/metrics", lambda request, rest: self.render_metrics(request)),
+            Route("GET", "/healthz", lambda request, rest: json_response(200, {"live": True})),
+            Route("GET", "/readyz", self._readyz),
+            Route("GET", "/v1/audit", self._audit_list),
+            Route("GET", "/v1/status", self._status),
+        ]
+
+    def render_metrics(self, request: Request) -> Response:
+        """Return the metrics with those that both daemons have."""
+        at_s = now_s()
+        self.set_gauge("revision", "Revision in force", self.config.keeper.revision)
+        self.set_gauge("uptime_s", "Seconds since the start", self.uptime_s(at_s))
+        self.set_gauge("config_refused", "Documents refused", self.config.refused_count)
+        self.set_gauge("service_calls", "Calls to the config service", self.config.service_calls)
+        self.set_gauge("service_age_s", "Age of contact", self.config.service_age_s(at_s))
+        self.set_gauge("heartbeats_sent", "Heartbeats sent", self.heartbeats.sent_count)
+        accept = request.header("Accept") or "text/plain"
+        body, headers = render(self.registry, [accept])
+        return Response(200, body, headers.get("Content-Type", "text/plain"))
+
+    def _readyz(self, request: Request, rest: str) -> Response:
+        ready = self.is_ready() and not self.leaving
+        return json_response(200 if ready else 503, {"ready": ready})
+
+    def _audit_list(self, request: Request, rest: str) -> Response:
+        events = [attrs.asdict(event) | {"what": event.what.value} for event in self.trail.events()]
+        return json_response(200, {"events": events})
+
+    def _status(self, request: Request, rest: str) -> Response:
+        own = self.own_status(now_s())
+        status = attrs.asdict(own, recurse=False)
+        status["serving"] = [attrs.asdict(ref) for ref in sorted(own.serving)]
+        status["zone"] = self.settings.zone
+        status["service_calls"] = self.config.service_calls
+        status["heartbeats_sent"] = self.heartbeats.sent_count
+        status |= self.more_status()
+        return Response(200, json.dumps(status).encode() + b"\n")
+
+
+@define(eq=False)
+class PeerHandler:
+    """Answer peers; an entry holds no weights and owns no tickets."""
+
+    daemon: Daemon
+
+    def exchange(self, mine: ttypes.Status) -> ttypes.Status:
+        """Take a peer's status and return the own one."""
+        self.daemon.heartbeats.heard(status_from_wire(mine))
+        return status_to_wire(self.daemon.own_status(now_s()))
+
+    def document(self, after_revision: int) -> ttypes.Document:
+        """Return the document in force when it is newer."""
+        current = self.daemon.config.keeper.current
+        if current is None or current.revision <= after_revision:
+            return ttypes.Document(0, b"")
+        return ttypes.Document(current.revision, current.body)
+
+    def manifest(self, manifest_digest: str) -> bytes:
+        """Return no manifest."""
+        return b""
+
+    def chunk(self, ask: ttypes.ChunkAsk) -> ttypes.Chunk:
+        """Return no chunk."""
+        return ttypes.Chunk(-1, b"")
+
+    def seal(self, ask: ttypes.SealAsk) -> ttypes.SealAnswer:
+        """Seal nothing."""
+        return ttypes.SealAnswer("refused")
--- /dev/null
+++ b/daisystack/runtime/engine_task.py
@@ -0,0 +1,188 @@
+"""Keep one engine on the intended weights and the gate in step with what it serves."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+
+from daisystack.backends import BackendError, LoadOrder, ModelEngine
+from daisystack.core.audit import AuditAction
+from daisystack.core.gate import EngineReport, Gate
+from daisystack.core.loading import LoadingTurn, lane_before, may_load
+from daisystack.core.orders import Drain, Idle, OrderInputs, SendOrder, decide_order
+from daisystack.core.register import ModelRef
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.daemon import Daemon
+from daisystack.runtime.transfer_task import TransferTask
+
+__all__ = ["EngineTask"]
+
+TICK_S = 0.25
+ORDER_GAP_S = 1.0
+PAUSE_GAP_S = 2.0
+
+_logger = logging.getLogger("daisystack.engine")
+
+
+@define(eq=False)
+class EngineTask:
+    """Own the engine's reports, the gate and the orders."""
+
+    daemon: Daemon
+    engine: ModelEngine
+    transfers: TransferTask
+    in_flight: Callable[[], int]
+    drain_s: float
+    gate: Gate = field(factory=Gate)
+    report: EngineReport | None = None
+    is_draining: bool = False
+    _draining_since_s: float | None = None
+    _ordered_s: float = -ORDER_GAP_S
+    _ticked_s: float = field(factory=now_s)
+    _paused_s: float = field(factory=now_s)
+
+    def start(self) -> None:
+        """Start watching the engine."""
+        eventlet.spawn(self._run)
+
+    @property
+    def is_loading(self) -> bool:
+        """Say whether the engine is out of service for a load, or about to be."""
+        return self.is_draining or bool(self.report and self.report.loading)
+
+    def intent(self) -> frozenset[ModelRef] | None:
+        """Return the intended weights; None when this instance is not listed."""
+        document = self.daemon.document
+        if document is None or self.daemon.settings.id not in document.instances:
+            return None
+        return document.intent_of(self.daemon.settings.id)
+
+    def refresh_gate(self) -> None:
+        """Judge the gate now, with the newest report at its present age."""
+        was = self.gate.reason
+        leaving = self.daemon.leaving
+        changed = self.gate.update(
+            self.intent(), self.report, leaving, self._is_superseded(), self.is_draining, now_s()
+        )
+        if changed:
+            opened = self.gate.is_open
+            action = AuditAction.GATE_OPENED if opened else AuditAction.GATE_CLOSED
+            serving = sorted(f"{r.model}@{r.version}" for r in self._serving())
+            self.daemon.audit(action, was.value, self.gate.reason.value, f"serves {serving}")
+            self.daemon.heartbeats.tell_all()
+
+    def read_report(self) -> EngineReport | None:
+        """Ask the engine now; None when it does not answer."""
+        try:
+            self.report = self.engine.report()
+        except BackendError:
+            return None
+        return self.report
+
+    def _serving(self) -> frozenset[ModelRef]:
+        return self.report.serving if self.report else frozenset()
+
+    def _is_superseded(self) -> bool:
+        document = self.daemon.document
+        settings = self.daemon.settings
+        instance = document.instances.get(settings.id) if document else None
+        return instance is not None and instance.peer_address != settings.peer_address
+
+    def _run(self) -> None:
+        while True:
+            at_s = now_s()
+            if at_s - self._ticked_s > PAUSE_GAP_S:
+                self._paused_s = at_s
+            self._ticked_s = at_s
+            self.read_report()
+            self.transfers.keep_in_use(self._serving())
+            self._step()
+            self.refresh_gate()
+            eventlet.sleep(TICK_S)
+
+    def _step(self) -> None:
+        decision = decide_order(self._inputs(), now_s())
+        if isinstance(decision, Idle):
+            self._stop_draining()
+        elif isinstance(decision, Drain):
+            self._drain()
+        elif now_s() - self._ordered_s >= ORDER_GAP_S:
+            self._drain()
+            self._send(decision)
+
+    def _inputs(self) -> OrderInputs:
+        intent = self.intent()
+        return OrderInputs(
+            intent=intent,
+            revision=self.daemon.config.keeper.revision,
+            report=self.report,
+            weights_held=bool(intent) and self.transfers.is_complete(intent),
+            turn=self._turn(),
+            in_flight=self.in_flight(),
+            draining_since_s=self._draining_since_s,
+            drain_s=self.drain_s,
+            leaving=self.daemon.leaving,
+            superseded=self._is_superseded(),
+            config_confirmed=self.daemon.config.confirmed_after(self._paused_s),
+        )
+
+    def _turn(self) -> LoadingTurn:
+        document = self.daemon.document
+        me = self.daemon.settings.id
+        if document is None or me not in document.instances:
+            return LoadingTurn(False)
+        heartbeats = self.daemon.heartbeats
+
+        def is_done(instance_id: str) -> bool:
+            status = heartbeats.peers.status(instance_id)
+            return status is not None and status.serving == document.intent_of(instance_id)
+
+        return may_load(lane_before(document, me), heartbeats.state, is_done)
+
+    def _drain(self) -> None:
+        if not self.is_draining:
+            self.is_draining = True
+            self._draining_since_s = now_s()
+            self.refresh_gate()
+
+    def _stop_draining(self) -> None:
+        self.is_draining = False
+        self._draining_since_s = None
+
+    def _send(self, decision: SendOrder) -> None:
+        # The report that allowed the order may be old after a pause, so it is read again.
+        seen = self.report
+        if self.read_report() != _at(seen, self.report) or self._paused():
+            return
+        self._ordered_s = now_s()
+        names = ",".join(sorted(f"{r.model}@{r.version}" for r in decision.weights))
+        before = ",".join(sorted(f"{r.model}@{r.version}" for r in self._serving())) or "none"
+        after = f"{names} fence {decision.fence}"
+        self.daemon.audit(AuditAction.ORDER_SENT, before, after, "sent")
+        url = f"http://{self.daemon.settings.http_address}/v1/staged"
+        try:
+            answer = self.engine.order(LoadOrder(decision.fence, decision.weights, url))
+            outcome = answer.reason or ("accepted" if answer.accepted else "refused")
+        except BackendError as error:
+            outcome = f"answer lost: {error}"
+        self.daemon.audit(AuditAction.ORDER_ANSWERED, before, after, outcome)
+
+    def _paused(self) -> bool:
+        return now_s() - self._ticked_s > PAUSE_GAP_S
+
+
+def _at(report: EngineReport | None, other: EngineReport | None) -> EngineReport | None:
+    """Return a report as if read at the time of another, so that only its content compares."""
+    if report is None or other is None:
+        return None
+    return EngineReport(
+        report.life,
+        report.serving,
+        report.loading,
+        report.fence,
+        other.in_flight,
+        other.read_s,
+    )
--- /dev/null
+++ b/daisystack/runtime/entry.py
@@ -0,0 +1,135 @@
+"""Run the daemon on an entry instance."""
+
+from __future__ import annotations
+
+import logging
+
+import attrs
+import eventlet
+from attrs import define, field
+
+from daisystack.backends import BackendError, HttpEndpoint, HttpLiveList
+from daisystack.core.config_keeper import AcceptedConfig
+from daisystack.core.entry_addresses import list_entry_addresses
+from daisystack.core.peers import SUSPECT_AFTER_S, PeerStatus
+from daisystack.core.readers import entry_neighbours
+from daisystack.core.retries import RetryBudget
+from daisystack.core.settings import EntrySettings
+from daisystack.core.tickets import MAX_TICKET_LIFETIME_S
+from daisystack.runtime.caller_request import MODELS, SERVICES, parse_target
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.daemon import Daemon, PeerHandler
+from daisystack.runtime.entry_requests import EntryRequests
+from daisystack.runtime.events import ServiceReadFailed
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.upstreams import Upstreams
+from daisystack.runtime.web import BadRequest, Request, Response, Route, json_response
+
+__all__ = ["Entry", "run_entry"]
+
+LIVE_LIST_S = 10.0
+
+_logger = logging.getLogger("daisystack.entry")
+
+
+@define(eq=False)
+class Entry:
+    """Own the callers' side: addresses, tickets and requests."""
+
+    settings: EntrySettings
+    daemon: Daemon = field(init=False)
+    upstreams: Upstreams = field(init=False)
+    requests: EntryRequests = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.daemon = Daemon("entry", settings, self._fill_status, entry_neighbours, self._is_ready)
+        self.upstreams = Upstreams(
+            settings.zone,
+            self.daemon.heartbeats,
+            lambda: self.daemon.document,
+            settings.progress_timeout_s,
+        )
+        budget = RetryBudget(ratio=settings.retry_ratio)
+        self.requests = EntryRequests(settings, self.upstreams, budget)
+        self.daemon.config.on_accepted.append(self._take_config)
+
+    def start(self) -> None:
+        """Listen and start the tasks."""
+        requests = self.requests
+        routes = [
+            Route("POST", "/v1/models/", lambda r, rest: requests.handle(r, rest, MODELS)),
+            Route("POST", "/v1/services/", lambda r, rest: requests.handle(r, rest, SERVICES)),
+            Route("POST", "/v1/tickets/", self._mint),
+            Route("GET", "/v1/addresses", self._addresses),
+            Route("GET", "/metrics", self._metrics),
+        ]
+        self.daemon.start(routes, PeerHandler(self.daemon))
+        eventlet.spawn(self._read_live_list)
+
+    def _is_ready(self) -> bool:
+        return self.daemon.document is not None
+
+    def _take_config(self, config: AcceptedConfig) -> None:
+        self.upstreams.forget_all_but(config.document)
+
+    def _fill_status(self, status: PeerStatus, at_s: float) -> PeerStatus:
+        return attrs.evolve(status, in_flight=self.requests.in_flight)
+
+    def _read_live_list(self) -> None:
+        live_list = HttpLiveList(HttpEndpoint(self.settings.live_list_address))
+        while True:
+            try:
+                lines = live_list.read()
+                self.upstreams.leaving = frozenset(line.id for line in lines if line.leaving)
+            except BackendError as error:
+                log_event(_logger, ServiceReadFailed(str(error)))
+            eventlet.sleep(LIVE_LIST_S)
+
+    def _addresses(self, request: Request, rest: str) -> Response:
+        document = self.daemon.document
+        if document is None:
+            return json_response(503, {"verdict": "not_run", "error": "no configuration yet"})
+        zone = request.query("zone", self.settings.zone)
+        peers = self.daemon.heartbeats.peers
+        found = list_entry_addresses(
+            document, self.settings.id, self.daemon.leaving, zone, peers, now_s()
+        )
+        body = {
+            "addresses": [attrs.asdict(entry) for entry in found],
+            "lifetime_s": self.settings.address_lifetime_s,
+        }
+        return json_response(200, body)
+
+    def _mint(self, request: Request, rest: str) -> Response:
+        document = self.daemon.document
+        if document is None:
+            return json_response(503, {"verdict": "not_run", "error": "no configuration yet"})
+        kind, _, name = rest.partition("/")
+        if kind not in (MODELS, SERVICES):
+            raise BadRequest(f"got {kind[:64]!r}, allowed are {MODELS} and {SERVICES}")
+        target = parse_target(kind, name, document)
+        lifetime_s = MAX_TICKET_LIFETIME_S / 2
+        chosen = self.upstreams.choose(document, target, None, set(), lifetime_s)
+        if chosen is None:
+            body = {"verdict": "not_run", "error": "no upstream takes tickets now"}
+            return json_response(503, body, (("Retry-After", "1"),))
+        return json_response(201, {"ticket": str(chosen.ticket), "lifetime_s": lifetime_s})
+
+    def _metrics(self, request: Request, rest: str) -> Response:
+        set_gauge = self.daemon.set_gauge
+        set_gauge("in_flight", "Requests in progress", self.requests.in_flight)
+        set_gauge("retries", "Retries sent", self.requests.retries)
+        for (verdict, end), count in self.requests.ended.items():
+            labels = {"verdict": verdict, "end": end}
+            set_gauge("requests_ended", "Requests by verdict and end", count, labels)
+        return self.daemon.render_metrics(request)
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until it is asked to stop and no address answer names it any more."""
+    entry = Entry(settings)
+    entry.start()
+    # Another entry may name this one until it has noticed that it is leaving.
+    linger_s = settings.address_lifetime_s + SUSPECT_AFTER_S
+    entry.daemon.run_until_stopped(lambda: entry.requests.in_flight, linger_s)
--- /dev/null
+++ b/daisystack/runtime/forwarder.py
@@ -0,0 +1,242 @@
+"""Pass requests through the gate to the upstream, each ticket at most once."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+
+import attrs
+from attrs import define, field, frozen
+
+from daisystack.core.gate import EngineReport
+from daisystack.core.idempotency import (
+    BeginRefused,
+    IdempotencyTable,
+    RecordedAnswer,
+    Replay,
+    SealOutcome,
+)
+from daisystack.core.settings import AgentSettings
+from daisystack.core.tickets import Ticket, parse_ticket
+from daisystack.core.verdicts import AttemptEnd, Verdict, judge_attempt
+from daisystack.runtime import headers
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.daemon import Daemon
+from daisystack.runtime.engine_task import EngineTask
+from daisystack.runtime.upstream_http import AttemptFailed, UpstreamAnswer, UpstreamHttp
+from daisystack.runtime.web import (
+    BadRequest,
+    Request,
+    Response,
+    StreamBody,
+    json_response,
+    read_body,
+)
+
+__all__ = ["Forwarder"]
+
+DEFAULT_TIME_LEFT_S = 60.0
+QUEUE_FACTOR = 2
+
+
+@frozen
+class _Attempt:
+    ticket: Ticket
+    repeatable: bool
+    model: str | None
+    path: str
+    body: bytes
+    content_type: str
+    deadline_s: float
+
+
+@define(eq=False)
+class Forwarder:
+    """Own the connections to the upstream, the idempotency table and the count in flight."""
+
+    daemon: Daemon
+    engine: EngineTask
+    upstream: UpstreamHttp
+    table: IdempotencyTable
+    settings: AgentSettings
+    in_flight: int = 0
+    runs: int = field(default=0)
+
+    def handle(self, request: Request, rest: str) -> Response:
+        """Answer one attempt of an entry."""
+        attempt = self._parse(request, rest)
+        uptime_s = self.daemon.uptime_s(now_s())
+        reason = self._reason_to_refuse(attempt)
+        if reason is not None:
+            return _refused(self.table.refuse(attempt.ticket, reason, uptime_s))
+        digest = hashlib.sha256(attempt.path.encode() + b"\x00" + attempt.body).hexdigest()
+        begun = self.table.begin(attempt.ticket, digest, uptime_s)
+        if isinstance(begun, BeginRefused):
+            return _refused(begun)
+        if isinstance(begun, Replay):
+            return _replayed(begun)
+        return self._run(attempt)
+
+    def seal(self, text: str) -> SealOutcome:
+        """Seal a ticket on behalf of an entry that heard nothing of it."""
+        return self.table.seal(parse_ticket(text), self.daemon.uptime_s(now_s()))
+
+    def _parse(self, request: Request, rest: str) -> _Attempt:
+        body = read_body(request, self.settings.max_body_bytes)
+        try:
+            ticket = parse_ticket(request.header(headers.TICKET) or "")
+            left_s = float(request.header(headers.DEADLINE) or DEFAULT_TIME_LEFT_S)
+        except ValueError as error:
+            raise BadRequest(str(error)) from error
+        return _Attempt(
+            ticket=ticket,
+            repeatable=request.header(headers.REPEATABLE) == "yes",
+            model=request.header(headers.MODEL),
+            path="/" + rest,
+            body=body,
+            content_type=request.header("content-type") or "application/octet-stream",
+            deadline_s=now_s() + left_s,
+        )
+
+    def _reason_to_refuse(self, attempt: _Attempt) -> str | None:
+        self.engine.refresh_gate()
+        gate = self.engine.gate
+        if not gate.is_open:
+            return f"gate closed: {gate.reason.value}"
+        if attempt.model is not None:
+            intent = self.engine.intent() or frozenset()
+            if all(ref.model != attempt.model for ref in intent):
+                return f"model {attempt.model!r} is not served here"
+        if self.in_flight >= QUEUE_FACTOR * self.settings.capacity:
+            return "upstream is full"
+        if now_s() >= attempt.deadline_s:
+            return "deadline has passed"
+        return None
+
+    def _run(self, attempt: _Attempt) -> Response:
+        self.in_flight += 1
+        self.runs += 1
+        seen = self.engine.report
+        try:
+            answer = self._send(attempt)
+        except AttemptFailed as failure:
+            self.in_flight -= 1
+            return self._failed(attempt, failure)
+        except BaseException:
+            self.in_flight -= 1
+            self._settle_unknown(attempt)
+            raise
+        if answer.is_stream:
+            return self._stream(attempt, answer, seen)
+        return self._whole(attempt, answer, seen)
+
+    def _send(self, attempt: _Attempt) -> UpstreamAnswer:
+        sent = {"Content-Type": attempt.content_type, "Idempotency-Key": str(attempt.ticket)}
+        left_s = attempt.deadline_s - now_s()
+        return self.upstream.send(attempt.path, attempt.body, sent, left_s)
+
+    def _whole(
+        self, attempt: _Attempt, answer: UpstreamAnswer, seen: EngineReport | None
+    ) -> Response:
+        try:
+            body = answer.read_whole(self.settings.max_answer_bytes)
+            self._check_weights(seen)
+        except AttemptFailed as failure:
+            return self._failed(attempt, failure)
+        finally:
+            self.in_flight -= 1
+        recorded = RecordedAnswer(answer.status, answer.content_type, body)
+        self._settle(attempt, recorded)
+        return Response(recorded.status, body, recorded.content_type, self._marks(answer))
+
+    def _stream(
+        self, attempt: _Attempt, answer: UpstreamAnswer, seen: EngineReport | None
+    ) -> Response:
+        def abort() -> None:
+            answer.abandon()
+            self._settle_unknown(attempt)
+            self.in_flight -= 1
+
+        body = StreamBody(self._pass_on(attempt, answer, seen), abort)
+        return Response(answer.status, body, answer.content_type, self._marks(answer))
+
+    def _pass_on(
+        self, attempt: _Attempt, answer: UpstreamAnswer, seen: EngineReport | None
+    ) -> Iterator[bytes]:
+        kept = bytearray()
+        keep_bytes = 0 if attempt.repeatable else self.table.max_one_answer_bytes
+        try:
+            for piece in answer.pieces():
+                if len(kept) <= keep_bytes:
+                    kept += piece
+                yield piece
+            self._check_weights(seen)
+            self._settle(attempt, RecordedAnswer(answer.status, answer.content_type, bytes(kept)))
+        except BaseException:
+            # Without the closing chunk the entry sees that the answer is cut.
+            answer.abandon()
+            self._settle_unknown(attempt)
+            raise
+        finally:
+            self.in_flight -= 1
+
+    def _marks(self, answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
+        marks = [(headers.VERDICT, Verdict.RAN.value), (headers.SERVED_BY, self.settings.id)]
+        serving = answer.header(headers.SERVING)
+        if serving is not None:
+            marks.append((headers.SERVING, serving))
+        return tuple(marks)
+
+    def _check_weights(self, seen: EngineReport | None) -> None:
+        if not self.engine.intent():
+            return
+        report = self.engine.read_report()
+        if report is None or seen is None or _weights(report) != _weights(seen):
+            raise AttemptFailed(AttemptEnd.ANSWER_MIXED, "weights changed during the answer")
+
+    def _failed(self, attempt: _Attempt, failure: AttemptFailed) -> Response:
+        verdict = judge_attempt(failure.end)
+        if verdict is Verdict.NOT_RUN:
+            self.table.finish_not_run(attempt.ticket)
+        else:
+            self._settle_unknown(attempt)
+        sealed = verdict is Verdict.NOT_RUN
+        return _failure(failure.end, verdict, sealed, failure.reason)
+
+    def _settle(self, attempt: _Attempt, answer: RecordedAnswer) -> None:
+        if attempt.repeatable:
+            answer = attrs.evolve(answer, body=b"")
+        self.table.finish(attempt.ticket, answer)
+
+    def _settle_unknown(self, attempt: _Attempt) -> None:
+        self.table.finish_unknown(attempt.ticket)
+
+
+def _weights(report: EngineReport) -> tuple:
+    return report.life, report.serving, report.fence, report.loading
+
+
+def _refused(refused: BeginRefused) -> Response:
+    end = AttemptEnd.REFUSED_AT_GATE
+    if refused.verdict is not Verdict.NOT_RUN:
+        end = AttemptEnd.OUTCOME_LOST
+    return _failure(end, refused.verdict, refused.sealed, refused.reason)
+
+
+def _replayed(replay: Replay) -> Response:
+    if replay.answer is None:
+        reason = "it ran; its answer was too large to keep"
+        return _failure(AttemptEnd.OUTCOME_LOST, Verdict.RAN, False, reason)
+    answer = replay.answer
+    marks = ((headers.VERDICT, Verdict.RAN.value), ("Daisystack-Replayed", "yes"))
+    return Response(answer.status, answer.body, answer.content_type, marks)
+
+
+def _failure(end: AttemptEnd, verdict: Verdict, sealed: bool, reason: str) -> Response:
+    status = 503 if verdict is Verdict.NOT_RUN else 502
+    marks = (
+        (headers.VERDICT, verdict.value),
+        (headers.ATTEMPT_END, end.value),
+        (headers.SEALED, "yes" if sealed else "no"),
+    )
+    return json_response(status, {"verdict": verdict.value, "error": reason}, marks)
--- /dev/null
+++ b/daisystack/runtime/headers.py
@@ -0,0 +1,39 @@
+"""Name the headers that daisystack adds to HTTP."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ATTEMPT_END",
+    "DEADLINE",
+    "MODEL",
+    "PREFIX",
+    "REPEATABLE",
+    "REQUEST_ID",
+    "RETRY_AFTER",
+    "SEALED",
+    "SERVED_BY",
+    "SERVING",
+    "TICKET",
+    "TIMEOUT",
+    "VERDICT",
+    "WORKSPACE",
+]
+
+WORKSPACE = "Daisystack-Workspace"
+REPEATABLE = "Daisystack-Repeatable"
+TICKET = "Daisystack-Ticket"
+TIMEOUT = "Daisystack-Timeout-S"
+PREFIX = "Daisystack-Prefix"
+VERDICT = "Daisystack-Verdict"
+REQUEST_ID = "Daisystack-Request-Id"
+SERVED_BY = "Daisystack-Served-By"
+RETRY_AFTER = "Retry-After"
+
+# Between entry and agent only.
+MODEL = "Daisystack-Model"
+DEADLINE = "Daisystack-Time-Left-S"
+ATTEMPT_END = "Daisystack-Attempt-End"
+SEALED = "Daisystack-Sealed"
+
+# From model engines.
+SERVING = "Engine-Serving"
--- /dev/null
+++ b/daisystack/runtime/heartbeat_task.py
@@ -0,0 +1,181 @@
+"""Exchange statuses with a bounded number of peers."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+import eventlet
+from attrs import define, field
+from eventlet.event import Event
+
+from daisystack.core.config_keeper import AcceptedConfig
+from daisystack.core.peers import PeerState, PeerStatus, PeerTable
+from daisystack.core.register import SiteDocument
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.config_task import ConfigTask, PeerAsked, RevisionSeen
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.wire.convert import status_from_wire, status_to_wire
+
+__all__ = ["HeartbeatTask"]
+
+HEARTBEAT_S = 1.0
+HEARTBEAT_TIMEOUT_S = 1.5
+RUMOUR_FANOUT = 4
+PAUSE_GAP_S = 2.0
+
+_logger = logging.getLogger("daisystack.heartbeats")
+
+
+@define(eq=False)
+class _Neighbour:
+    address: str
+    wake: Event = field(factory=Event)
+    is_wanted: bool = True
+
+
+@define(eq=False)
+class HeartbeatTask:
+    """Own the peer table and one link per neighbour; all others are met by chance."""
+
+    me: str
+    config: ConfigTask
+    seeds: tuple[str, ...]
+    own_status: Callable[[float], PeerStatus]
+    choose_neighbours: Callable[[SiteDocument, str], list[str]]
+    on_heard: list[Callable[[PeerStatus], None]] = field(factory=list)
+    peers: PeerTable = field(factory=PeerTable)
+    sent_count: int = 0
+    _neighbours: dict[str, _Neighbour] = field(factory=dict)
+    _extra: tuple[str, ...] = ()
+    _ticked_s: float = field(factory=now_s)
+
+    def start(self) -> None:
+        """Ask the seeds, and begin to meet random peers."""
+        self.config.on_accepted.append(self._take_config)
+        for seed in self.seeds:
+            eventlet.spawn(self._ask_seed, seed)
+        eventlet.spawn(self._meet_random)
+
+    def state(self, instance_id: str) -> PeerState:
+        """Judge a peer now."""
+        self._notice_pause()
+        return self.peers.state(instance_id, now_s())
+
+    def also_watch(self, instance_ids: Iterable[str]) -> None:
+        """Add peers that are needed for a while."""
+        self._extra = tuple(instance_ids)
+        if self.config.keeper.current is not None:
+            self._set_neighbours(self.config.keeper.current.document)
+
+    def heard(self, status: PeerStatus) -> None:
+        """Take a status that a peer sent or answered."""
+        at_s = now_s()
+        self.peers.heard(status, at_s)
+        self.config.heard_service_age(status.service_age_s, at_s)
+        self.config.peer_confirms(status.revision, at_s)
+        if status.revision > self.config.keeper.revision:
+            address = self._address_of(status.instance_id)
+            if address is not None:
+                self.config.inbox.put(RevisionSeen(address, status.revision))
+        for listener in self.on_heard:
+            listener(status)
+
+    def tell_all(self) -> None:
+        """Send the own status to all neighbours at once."""
+        for neighbour in self._neighbours.values():
+            if not neighbour.wake.ready():
+                neighbour.wake.send()
+
+    def _notice_pause(self) -> None:
+        # Peers were not silent while this process itself stood still.
+        gap_s = now_s() - self._ticked_s
+        self._ticked_s = now_s()
+        if gap_s > PAUSE_GAP_S:
+            self.peers.paused(gap_s)
+
+    def _address_of(self, instance_id: str) -> str | None:
+        current = self.config.keeper.current
+        instance = current.document.instances.get(instance_id) if current else None
+        return instance.peer_address if instance else None
+
+    def _take_config(self, config: AcceptedConfig) -> None:
+        self._set_neighbours(config.document)
+        self.peers.forget_all_but(frozenset(config.document.instances))
+        self.tell_all()
+        addresses = [i.peer_address for i in config.document.instances.values() if i.id != self.me]
+        for address in random.sample(addresses, min(RUMOUR_FANOUT, len(addresses))):
+            eventlet.spawn(self._exchange_once, address)
+
+    def _set_neighbours(self, document: SiteDocument) -> None:
+        wanted: dict[str, str] = {}
+        if self.me in document.instances:
+            chosen = [*self.choose_neighbours(document, self.me), *self._extra]
+            for instance_id in chosen:
+                instance = document.instances.get(instance_id)
+                if instance is not None and instance_id != self.me:
+                    wanted[instance_id] = instance.peer_address
+        for instance_id in list(self._neighbours):
+            if wanted.get(instance_id) != self._neighbours[instance_id].address:
+                self._neighbours.pop(instance_id).is_wanted = False
+        for instance_id, address in wanted.items():
+            if instance_id not in self._neighbours:
+                neighbour = _Neighbour(address)
+                self._neighbours[instance_id] = neighbour
+                eventlet.spawn(self._follow, instance_id, neighbour)
+
+    def _follow(self, instance_id: str, neighbour: _Neighbour) -> None:
+        link = PeerLink(neighbour.address, timeout_s=HEARTBEAT_TIMEOUT_S)
+        while neighbour.is_wanted:
+            self._notice_pause()
+            self.peers.asked(instance_id, now_s())
+            self._exchange(link)
+            with eventlet.Timeout(HEARTBEAT_S * random.uniform(0.9, 1.1), False):
+                neighbour.wake.wait()
+            if neighbour.wake.ready():
+                neighbour.wake = Event()
+        link.close()
+
+    def _exchange(self, link: PeerLink) -> PeerStatus | None:
+        self.sent_count += 1
+        try:
+            answer = link.call("exchange", status_to_wire(self.own_status(now_s())))
+        except PeerError:
+            return None
+        status = status_from_wire(answer)
+        self.heard(status)
+        return status
+
+    def _exchange_once(self, address: str) -> PeerStatus | None:
+        link = PeerLink(address, timeout_s=HEARTBEAT_TIMEOUT_S)
+        try:
+            return self._exchange(link)
+        finally:
+            link.close()
+
+    def _ask_seed(self, seed: str) -> None:
+        status = self._exchange_once(seed)
+        revision = status.revision if status is not None else None
+        self.config.inbox.put(PeerAsked(seed, revision))
+
+    def _meet_random(self) -> None:
+        while True:
+            eventlet.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
+            self._notice_pause()
+            address = self._random_address()
+            if address is not None:
+                eventlet.spawn(self._meet, address)
+
+    def _meet(self, address: str) -> None:
+        status = self._exchange_once(address)
+        if status is not None and status.revision > self.config.keeper.revision:
+            self.config.inbox.put(RevisionSeen(address, status.revision))
+
+    def _random_address(self) -> str | None:
+        current = self.config.keeper.current
+        listed = list(current.document.instances.values()) if current else []
+        others = [i.peer_address for i in listed if i.id != self.me]
+        # After a long sleep the seeds may be the only addresses that still hold.
+        choices = others + list(self.seeds)
+        return random.choice(choices) if choices else None
--- /dev/null
+++ b/daisystack/runtime/peer_link.py
@@ -0,0 +1,96 @@
+"""Talk thrift to peers and serve them."""
+
+from __future__ import annotations
+
+import logging
+
+import eventlet
+from attrs import define, field
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from daisystack.core.addresses import Address, parse_address
+from daisystack.wire.gen import Peer
+
+__all__ = ["PeerError", "PeerLink", "serve_peers"]
+
+CONNECT_TIMEOUT_S = 1.0
+MS_PER_S = 1000
+
+_logger = logging.getLogger("daisystack.peers")
+
+
+class PeerError(Exception):
+    """Say that a call to a peer failed; the link is closed and the next call reconnects."""
+
+
+@define
+class PeerLink:
+    """Own one connection to a peer; used by one task at a time."""
+
+    address: str
+    timeout_s: float = 2.0
+    _transport: TFramedTransport | None = None
+    _client: Peer.Client | None = None
+
+    def call(self, method: str, *arguments):
+        """Call a method of the peer; raises PeerError on any failure or timeout."""
+        try:
+            if self._client is None:
+                self._connect()
+            return getattr(self._client, method)(*arguments)
+        except (TException, OSError, ValueError, EOFError) as error:
+            self.close()
+            raise PeerError(f"{method} at {self.address}: {error}") from error
+        except BaseException:
+            # A half-read answer must never meet the next call.
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+        self._transport = None
+        self._client = None
+
+    def _connect(self) -> None:
+        address = parse_address(self.address)
+        sock = TSocket(address.host, address.port)
+        sock.setTimeout(CONNECT_TIMEOUT_S * MS_PER_S)
+        self._transport = TFramedTransport(sock)
+        self._transport.open()
+        sock.setTimeout(self.timeout_s * MS_PER_S)
+        self._client = Peer.Client(TBinaryProtocolAccelerated(self._transport))
+
+
+@define
+class _Connections:
+    processor: Peer.Processor
+    open_count: int = field(default=0)
+
+    def serve(self, sock, remote) -> None:
+        self.open_count += 1
+        handle = TSocket()
+        handle.setHandle(sock)
+        transport = TFramedTransport(handle)
+        protocol = TBinaryProtocolAccelerated(transport)
+        try:
+            while True:
+                self.processor.process(protocol, protocol)
+        except (TTransportException, OSError, EOFError):
+            pass
+        except TException as error:
+            _logger.warning("peer_spoke_badly", extra={"remote": str(remote), "error": str(error)})
+        finally:
+            self.open_count -= 1
+            transport.close()
+
+
+def serve_peers(address: Address, handler) -> eventlet.greenthread.GreenThread:
+    """Serve the Peer interface on an address; raises OSError when it can't be bound."""
+    listener = eventlet.listen((address.host, address.port), backlog=1024)
+    connections = _Connections(Peer.Processor(handler))
+    return eventlet.spawn(eventlet.serve, listener, connections.serve, 4096)
--- /dev/null
+++ b/daisystack/runtime/transfer_task.py
@@ -0,0 +1,305 @@
+"""Fetch the chunks of the intended versions from peers, the store and the origin."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+
+from daisystack.backends import BackendError, RateRefused, WeightSource
+from daisystack.core.chunk_store import ChunkStore, StoreFull
+from daisystack.core.distribution import plan_distribution
+from daisystack.core.manifests import ChunkFault, Manifest, read_manifest
+from daisystack.core.register import ModelRef, SiteDocument
+from daisystack.core.transfer import PeerWish, TransferState
+from daisystack.runtime.chunk_server import ChunkServer
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import (
+    ChunkRejected,
+    RolloutDone,
+    RolloutStarted,
+    WeightSourceFailed,
+)
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.wire.convert import pack_bits
+from daisystack.wire.gen import ttypes
+
+__all__ = ["Transfer", "TransferTask"]
+
+RING_LANES = 2
+ORIGIN_LANES = 2
+RING_WAIT_MS = 500
+REGION_WAIT_MS = 1000
+PEER_TIMEOUT_S = 6.0
+IDLE_S = 0.05
+MANIFEST_RETRY_S = 0.5
+
+Wish = Callable[[], PeerWish | None]
+
+_logger = logging.getLogger("daisystack.transfer")
+
+
+@define(eq=False)
+class Transfer:
+    """Own the links and workers that fetch one version; cancelled when the intent changes."""
+
+    me: str
+    ref: ModelRef
+    document: SiteDocument
+    store: ChunkStore
+    server: ChunkServer
+    sources: tuple[WeightSource, ...]
+    # A changed document starts the transfer anew; what was pulled before still counts.
+    pulled_before: int = 0
+    state: TransferState | None = None
+    is_cancelled: bool = False
+    pulled_origin_bytes: int = 0
+    received_bytes: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Say whether all chunks are held and verified."""
+        return self.state is not None and self.state.is_complete
+
+    @property
+    def origin_pulled(self) -> int:
+        """Return the chunks pulled from the store and the origin for this version."""
+        return self.state.origin_pulled if self.state else self.pulled_before
+
+    @property
+    def chunks_wanted(self) -> int:
+        """Return the number of chunks of the version, 0 before its manifest came."""
+        return len(self.state.manifest.chunks) if self.state else 0
+
+    @property
+    def chunks_held(self) -> int:
+        """Return the number of chunks held."""
+        return self.chunks_wanted - len(self.state.missing) if self.state else 0
+
+    def is_planned_otherwise(self, document: SiteDocument) -> bool:
+        """Say whether a new document changes whom this transfer asks."""
+        old = plan_distribution(self.document, self.ref, self.me)
+        new = plan_distribution(document, self.ref, self.me)
+        members = {member for ring in new.rings.values() for member in ring}
+        moved = any(self._address(m) != document.instances[m].peer_address for m in members)
+        return moved or old != new
+
+    def run(self) -> None:
+        """Fetch the manifest, then all chunks."""
+        manifest = self._fetch_manifest()
+        if manifest is None:
+            return
+        self.state = self._begin(manifest)
+        for lane in range(RING_LANES):
+            eventlet.spawn(self._pull_peers, self._ring_wish(lane), RING_WAIT_MS)
+        for region in self.state.plan.rings:
+            if region != self.state.plan.region:
+                eventlet.spawn(self._pull_peers, self._region_wish(region), REGION_WAIT_MS)
+        for _ in range(ORIGIN_LANES):
+            eventlet.spawn(self._pull_origin)
+        while not self.is_complete and not self.is_cancelled:
+            eventlet.sleep(IDLE_S)
+        if self.is_complete:
+            took_s = now_s() - self.state.started_s
+            done = RolloutDone(self.ref.model, self.ref.version, took_s, self.state.reused_bytes)
+            log_event(_logger, done)
+
+    def _begin(self, manifest: Manifest) -> TransferState:
+        missing = {i for i, c in enumerate(manifest.chunks) if c.digest not in self.store}
+        reused = [c.size_bytes for i, c in enumerate(manifest.chunks) if i not in missing]
+        plan = plan_distribution(self.document, self.ref, self.me)
+        at_s = now_s()
+        started = RolloutStarted(
+            self.ref.model, self.ref.version, len(manifest.chunks), len(reused)
+        )
+        log_event(_logger, started)
+        state = TransferState(plan, manifest, at_s, at_s, missing, sum(reused))
+        state.origin_pulled = self.pulled_before
+        return state
+
+    def _fetch_manifest(self) -> Manifest | None:
+        digest = self.ref.manifest_digest
+        attempt = 0
+        while not self.is_cancelled:
+            source = self.sources[attempt % len(self.sources)]
+            attempt += 1
+            try:
+                body = self._manifest_from_peer(digest) or source.manifest(digest)
+                manifest = read_manifest(body, digest)
+            except BackendError as error:
+                log_event(_logger, WeightSourceFailed("manifest", str(error)))
+            except ChunkFault as error:
+                log_event(_logger, ChunkRejected("manifest", str(error)))
+            else:
+                self.server.manifests[digest] = (body, manifest)
+                return manifest
+            eventlet.sleep(MANIFEST_RETRY_S)
+        return None
+
+    def _manifest_from_peer(self, digest: str) -> bytes:
+        plan = plan_distribution(self.document, self.ref, self.me)
+        for member in plan.predecessors[:1]:
+            link = PeerLink(self._address(member))
+            try:
+                body = link.call("manifest", digest)
+                read_manifest(body, digest)
+                return body
+            except (PeerError, ChunkFault):
+                continue
+            finally:
+                link.close()
+        return b""
+
+    def _ring_wish(self, lane: int) -> Wish:
+        return lambda: self.state.ring_wish(lane, RING_LANES, now_s())
+
+    def _region_wish(self, region: str) -> Wish:
+        return lambda: self.state.region_wish(region, now_s())
+
+    def _pull_peers(self, next_wish: Wish, wait_ms: int) -> None:
+        link: PeerLink | None = None
+        while not self.is_complete and not self.is_cancelled:
+            wish = next_wish()
+            if wish is None:
+                eventlet.sleep(IDLE_S)
+                continue
+            address = self._address(wish.instance_id)
+            if link is None or link.address != address:
+                if link is not None:
+                    link.close()
+                link = PeerLink(address, PEER_TIMEOUT_S)
+            self._pull_once(link, wish, wait_ms)
+        if link is not None:
+            link.close()
+
+    def _pull_origin(self) -> None:
+        attempt = 0
+        while not self.is_complete and not self.is_cancelled:
+            index = self.state.origin_wish(now_s())
+            if index is None:
+                eventlet.sleep(IDLE_S)
+                continue
+            self.state.begin(index)
+            try:
+                if not self._ask_neighbours(index) and not self._pull_source(index, attempt):
+                    attempt += 1
+                    eventlet.sleep(IDLE_S)
+            finally:
+                self.state.end(index)
+
+    def _ask_neighbours(self, index: int) -> bool:
+        for member in self.state.neighbours_to_ask(index, now_s()):
+            link = PeerLink(self._address(member), PEER_TIMEOUT_S)
+            try:
+                if self._pull_once(link, PeerWish(member, frozenset({index})), 0):
+                    return True
+            finally:
+                link.close()
+        return False
+
+    def _pull_once(self, link: PeerLink, wish: PeerWish, wait_ms: int) -> bool:
+        wanted = pack_bits(wish.indexes, len(self.state.manifest.chunks))
+        ask = ttypes.ChunkAsk(self.ref.manifest_digest, wanted, wait_ms, self.me)
+        member = wish.instance_id
+        try:
+            chunk = link.call("chunk", ask)
+        except PeerError:
+            self.state.avoid(member, False, now_s())
+            return False
+        if chunk.index < 0:
+            return False
+        self.received_bytes += len(chunk.body)
+        if chunk.index not in wish.indexes:
+            self._reject(member, "a chunk that was not asked for")
+            return False
+        return self._take(chunk.index, chunk.body, member)
+
+    def _pull_source(self, index: int, attempt: int) -> bool:
+        source = self.sources[attempt % len(self.sources)]
+        self.state.origin_pulled += 1
+        try:
+            body = source.chunk(self.state.manifest.chunks[index].digest)
+        except RateRefused as error:
+            self.state.origin_pulled -= 1
+            eventlet.sleep(error.retry_after_s)
+            return False
+        except BackendError as error:
+            log_event(_logger, WeightSourceFailed("chunk", str(error)))
+            return False
+        self.pulled_origin_bytes += len(body)
+        return self._take(index, body, None)
+
+    def _take(self, index: int, body: bytes, member: str | None) -> bool:
+        try:
+            self.store.put(self.state.manifest.chunks[index], body)
+        except ChunkFault as error:
+            self._reject(member, str(error))
+            return False
+        except StoreFull as error:
+            log_event(_logger, ChunkRejected("own store", str(error)))
+            eventlet.sleep(MANIFEST_RETRY_S)
+            return False
+        region = self._region_of(member) if member is not None else None
+        self.state.arrived(index, region, now_s())
+        self.server.chunk_arrived()
+        return True
+
+    def _reject(self, member: str | None, error: str) -> None:
+        log_event(_logger, ChunkRejected(member or "origin", error))
+        if member is not None:
+            self.state.avoid(member, True, now_s())
+
+    def _region_of(self, instance_id: str) -> str:
+        return self.document.region_of(self.document.instances[instance_id])
+
+    def _address(self, instance_id: str) -> str | None:
+        instance = self.document.instances.get(instance_id)
+        return instance.peer_address if instance is not None else None
+
+
+@define(eq=False)
+class TransferTask:
+    """Keep one transfer for each intended version; drop the others and keep useful chunks."""
+
+    me: str
+    store: ChunkStore
+    server: ChunkServer
+    sources: tuple[WeightSource, ...]
+    transfers: dict[ModelRef, Transfer] = field(factory=dict)
+
+    def take_document(self, document: SiteDocument) -> None:
+        """Start what a new document asks for and cancel what it no longer does."""
+        intent = document.intent_of(self.me)
+        for ref in list(self.transfers):
+            if ref not in intent:
+                self.transfers.pop(ref).is_cancelled = True
+        for ref in sorted(intent):
+            running = self.transfers.get(ref)
+            if running is None:
+                self._start(ref, document, 0)
+            elif not running.is_complete and running.is_planned_otherwise(document):
+                running.is_cancelled = True
+                self._start(ref, document, running.origin_pulled)
+
+    def is_complete(self, intent: frozenset[ModelRef]) -> bool:
+        """Say whether all chunks of the intended versions are held."""
+        return all(ref in self.transfers and self.transfers[ref].is_complete for ref in intent)
+
+    def keep_in_use(self, serving: frozenset[ModelRef]) -> None:
+        """Protect the chunks of intended and served versions from being dropped."""
+        digests = set()
+        for ref in [*self.transfers, *serving]:
+            known = self.server.manifests.get(ref.manifest_digest)
+            if known is not None:
+                digests.update(chunk.digest for chunk in known[1].chunks)
+        self.store.keep_only(digests)
+
+    def _start(self, ref: ModelRef, document: SiteDocument, pulled_before: int) -> None:
+        transfer = Transfer(
+            self.me, ref, document, self.store, self.server, self.sources, pulled_before
+        )
+        self.transfers[ref] = transfer
+        eventlet.spawn(transfer.run)
--- /dev/null
+++ b/daisystack/runtime/upstream_http.py
@@ -0,0 +1,147 @@
+"""Send one attempt over HTTP and say exactly how far it came."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import eventlet
+import urllib3
+from attrs import define, field
+
+from daisystack.core.verdicts import AttemptEnd
+
+__all__ = ["AttemptFailed", "UpstreamAnswer", "UpstreamHttp"]
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 64
+STREAM_TYPE = "text/event-stream"
+
+
+class AttemptFailed(Exception):
+    """Say at which point an attempt failed."""
+
+    def __init__(self, end: AttemptEnd, reason: str) -> None:
+        super().__init__(f"{end.value}: {reason}")
+        self.end = end
+        self.reason = reason
+
+
+@define(eq=False)
+class UpstreamAnswer:
+    """Own an answer in progress; its connection is reused only when the answer came whole."""
+
+    _response: urllib3.BaseHTTPResponse
+    _progress_timeout_s: float
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self._response.status
+
+    @property
+    def content_type(self) -> str:
+        """Return the content type."""
+        return self._response.headers.get("Content-Type", "application/octet-stream")
+
+    @property
+    def is_stream(self) -> bool:
+        """Say whether the answer is a stream of events."""
+        return self.content_type.startswith(STREAM_TYPE)
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value."""
+        return self._response.headers.get(name)
+
+    def read_whole(self, max_bytes: int) -> bytes:
+        """Return the whole body; raises AttemptFailed when it is cut or over the limit."""
+        pieces = []
+        size_bytes = 0
+        for piece in self.pieces():
+            size_bytes += len(piece)
+            if size_bytes > max_bytes:
+                self.abandon()
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, f"answer is over {max_bytes} bytes")
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the body as it comes; raises AttemptFailed when it is cut or goes silent."""
+        if not self._is_framed():
+            self.abandon()
+            raise AttemptFailed(AttemptEnd.ANSWER_CUT, "answer has no length and no chunks")
+        source = self._response.stream(65_536)
+        try:
+            while True:
+                with eventlet.Timeout(self._progress_timeout_s):
+                    piece = next(source, None)
+                if piece is None:
+                    break
+                if piece:
+                    yield piece
+        except eventlet.Timeout:
+            self.abandon()
+            reason = f"silent for {self._progress_timeout_s} s"
+            raise AttemptFailed(AttemptEnd.ANSWER_CUT, reason) from None
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self.abandon()
+            raise AttemptFailed(AttemptEnd.ANSWER_CUT, str(error)) from error
+        except BaseException:
+            self.abandon()
+            raise
+        self._response.release_conn()
+
+    def abandon(self) -> None:
+        """Close the connection so that nothing of this answer meets another request."""
+        self._response.close()
+
+    def _is_framed(self) -> bool:
+        headers = self._response.headers
+        chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
+        return chunked or headers.get("Content-Length", "").isdigit()
+
+
+@define(eq=False)
+class UpstreamHttp:
+    """Own the connections to one address."""
+
+    address: str
+    progress_timeout_s: float
+    _pool: urllib3.HTTPConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=MAX_IDLE_CONNECTIONS, block=False, retries=False
+        )
+
+    def send(
+        self, path: str, body: bytes, headers: dict[str, str], timeout_s: float
+    ) -> UpstreamAnswer:
+        """Send a request and return its answer's head; raises AttemptFailed."""
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=max(0.01, timeout_s))
+        try:
+            with eventlet.Timeout(max(0.01, timeout_s) + CONNECT_TIMEOUT_S):
+                response = self._pool.urlopen(
+                    "POST",
+                    path,
+                    body=body,
+                    headers=headers,
+                    timeout=timeout,
+                    redirect=False,
+                    preload_content=False,
+                    decode_content=False,
+                )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise AttemptFailed(AttemptEnd.CONNECT_FAILED, str(error)) from error
+        except eventlet.Timeout:
+            raise AttemptFailed(AttemptEnd.NO_ANSWER, f"no answer in {timeout_s} s") from None
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise AttemptFailed(AttemptEnd.NO_ANSWER, str(error)) from error
+        return UpstreamAnswer(response, self.progress_timeout_s)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
--- /dev/null
+++ b/daisystack/runtime/web.py
@@ -0,0 +1,194 @@
+"""Serve HTTP through eventlet's WSGI server with typed requests and responses."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable, Generator, Iterable
+from urllib.parse import parse_qsl, unquote
+
+import eventlet
+import eventlet.wsgi
+from attrs import define, field, frozen
+
+from daisystack.core.addresses import Address
+
+__all__ = [
+    "BadRequest",
+    "BodyTooLarge",
+    "Request",
+    "Response",
+    "Route",
+    "StreamBody",
+    "json_response",
+    "read_body",
+    "serve_http",
+]
+
+MAX_CONNECTIONS = 4096
+IDLE_TIMEOUT_S = 75.0
+STATUS_TEXT = {
+    200: "OK",
+    201: "Created",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class BadRequest(ValueError):
+    """Say what is wrong with a request and what is allowed."""
+
+    status = 400
+
+
+class BodyTooLarge(BadRequest):
+    """Say that a body is over its limit."""
+
+    status = 413
+
+
+@frozen
+class Request:
+    """Hold one HTTP request."""
+
+    method: str
+    path: str
+    environ: dict
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value."""
+        key = name.upper().replace("-", "_")
+        if key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            return self.environ.get(key)
+        return self.environ.get(f"HTTP_{key}")
+
+    def query(self, name: str, default: str = "") -> str:
+        """Return a query parameter."""
+        return dict(parse_qsl(self.environ.get("QUERY_STRING", ""))).get(name, default)
+
+
+@frozen
+class Response:
+    """Hold one HTTP response; a body that is no bytes is streamed."""
+
+    status: int
+    body: bytes | StreamBody = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@define(eq=False)
+class StreamBody:
+    """Pass pieces on, and run an abort when the body is dropped before it was begun."""
+
+    pieces: Generator[bytes]
+    abort: Callable[[], None]
+    _begun: bool = False
+
+    def __iter__(self) -> StreamBody:
+        return self
+
+    def __next__(self) -> bytes:
+        self._begun = True
+        return next(self.pieces)
+
+    def close(self) -> None:
+        """End the pieces; a generator that was never begun would skip its clean-up."""
+        if self._begun:
+            self.pieces.close()
+        else:
+            self._begun = True
+            self.abort()
+
+
+@frozen
+class Route:
+    """Send a method and a path prefix to a handler, which gets the rest of the path."""
+
+    method: str
+    prefix: str
+    handler: Callable[[Request, str], Response]
+
+
+def json_response(
+    status: int, value: object, headers: tuple[tuple[str, str], ...] = ()
+) -> Response:
+    """Return a response with a JSON body."""
+    return Response(status, json.dumps(value).encode() + b"\n", headers=headers)
+
+
+def read_body(request: Request, max_bytes: int) -> bytes:
+    """Read a whole body; raises BadRequest when it is cut short or over the limit."""
+    stream = request.environ["wsgi.input"]
+    length = request.header("content-length")
+    if length is not None and (not length.isdigit() or int(length) > max_bytes):
+        raise BodyTooLarge(f"got content-length {length}, allowed are {max_bytes} bytes")
+    try:
+        body = stream.read(max_bytes + 1 if length is None else int(length))
+    except (OSError, ValueError) as error:
+        raise BadRequest(f"body does not read: {error}") from error
+    if length is not None and len(body) < int(length):
+        raise BadRequest(f"got {len(body)} bytes of body, announced were {length}")
+    if len(body) > max_bytes:
+        raise BodyTooLarge(f"body is over {max_bytes} bytes")
+    return body
+
+
+@frozen
+class _Application:
+    routes: tuple[Route, ...]
+    logger: logging.Logger = field(factory=lambda: logging.getLogger("daisystack.http"))
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        response = self._respond(environ)
+        headers = [("Content-Type", response.content_type), *response.headers]
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+            start_response(_status_line(response.status), headers)
+            return [response.body]
+        environ["eventlet.minimum_write_chunk_size"] = 1
+        start_response(_status_line(response.status), headers)
+        return response.body
+
+    def _respond(self, environ: dict) -> Response:
+        request = Request(environ["REQUEST_METHOD"], unquote(environ["PATH_INFO"]), environ)
+        try:
+            for route in self.routes:
+                if request.method == route.method and request.path.startswith(route.prefix):
+                    return route.handler(request, request.path[len(route.prefix) :])
+        except BadRequest as error:
+            return _refusal(error.status, str(error))
+        return _refusal(404, f"got {request.method} {request.path[:200]}, which is not served")
+
+
+def _refusal(status: int, message: str) -> Response:
+    body = {"verdict": "not_run", "error": message}
+    return json_response(status, body, (("Daisystack-Verdict", "not_run"),))
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {STATUS_TEXT.get(status, 'Status')}"
+
+
+def serve_http(address: Address, routes: Iterable[Route]) -> eventlet.greenthread.GreenThread:
+    """Listen on an address and serve the routes; raises OSError when it can't be bound."""
+    listener = eventlet.listen((address.host, address.port), backlog=1024)
+    return eventlet.spawn(
+        eventlet.wsgi.server,
+        listener,
+        _Application(tuple(routes)),
+        log=logging.getLogger("daisystack.wsgi"),
+        log_output=False,
+        debug=False,
+        max_size=MAX_CONNECTIONS,
+        # A connection that sends nothing, or half a request, is closed.
+        socket_timeout=IDLE_TIMEOUT_S,
+    )
--- /dev/null
+++ b/daisystack/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform in demos, tests and measurements."""
--- /dev/null
+++ b/daisystack/standins/config_service.py
@@ -0,0 +1,76 @@
+"""Stand in for the config service: read and watch for daemons, publish for operators."""
+
+from __future__ import annotations
+
+import json
+
+import eventlet
+from attrs import define, field
+from eventlet.event import Event
+
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.web import Request, Response, Route, json_response
+
+__all__ = ["ConfigServiceStandin"]
+
+
+@define(eq=False)
+class ConfigServiceStandin:
+    """Hold all published documents and answer watches; faults are set by a control call."""
+
+    documents: list[bytes] = field(factory=list)
+    calls: int = 0
+    is_down: bool = False
+    shown_revision: int | None = None
+    _changed: Event = field(factory=Event)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the service and its controls."""
+        return [
+            Route("GET", "/v1/document", self._watch),
+            Route("PUT", "/v1/document", self._publish),
+            Route("PUT", "/control", self._control),
+            Route("GET", "/counters", self._counters),
+        ]
+
+    def publish(self, body: bytes) -> int:
+        """Publish a document under the next revision."""
+        self.documents.append(body)
+        self._wake()
+        return len(self.documents)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.send()
+
+    def _watch(self, request: Request, rest: str) -> Response:
+        self.calls += 1
+        after = int(request.query("after", "0"))
+        deadline_s = now_s() + float(request.query("wait_s", "0"))
+        while not self.is_down:
+            shown = len(self.documents) if self.shown_revision is None else self.shown_revision
+            # A stale reader is shown the old document, whatever it asked for.
+            if shown and (shown > after or self.shown_revision is not None):
+                body = self.documents[shown - 1]
+                return Response(200, body, headers=(("Revision", str(shown)),))
+            left_s = deadline_s - now_s()
+            if left_s <= 0:
+                return Response(304)
+            changed = self._changed
+            with eventlet.Timeout(left_s, False):
+                changed.wait()
+        return Response(503, b"down\n", "text/plain")
+
+    def _publish(self, request: Request, rest: str) -> Response:
+        body = request.environ["wsgi.input"].read()
+        return json_response(201, {"revision": self.publish(body)})
+
+    def _control(self, request: Request, rest: str) -> Response:
+        faults = json.loads(request.environ["wsgi.input"].read())
+        self.is_down = faults.get("is_down", self.is_down)
+        self.shown_revision = faults.get("shown_revision", self.shown_revision)
+        self._wake()
+        return json_response(200, {})
+
+    def _counters(self, request: Request, rest: str) -> Response:
+        return json_response(200, {"calls": self.calls, "revision": len(self.documents)})
--- /dev/null
+++ b/daisystack/standins/live_list.py
@@ -0,0 +1,37 @@
+"""Stand in for the platform's lagging list of instances."""
+
+from __future__ import annotations
+
+import json
+
+from attrs import define, field
+
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.web import Request, Response, Route, json_response
+
+__all__ = ["LiveListStandin"]
+
+DEFAULT_LAG_S = 30.0
+
+
+@define(eq=False)
+class LiveListStandin:
+    """Show each change of an instance's state only after the lag."""
+
+    lag_s: float = DEFAULT_LAG_S
+    _changes: list[tuple[float, str, str]] = field(factory=list)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the list and its control."""
+        return [Route("GET", "/v1/instances", self._list), Route("PUT", "/control", self._control)]
+
+    def _list(self, request: Request, rest: str) -> Response:
+        until_s = now_s() - self.lag_s
+        states = {id: state for at_s, id, state in self._changes if at_s <= until_s}
+        lines = [{"id": id, "state": state} for id, state in sorted(states.items())]
+        return json_response(200, {"instances": lines})
+
+    def _control(self, request: Request, rest: str) -> Response:
+        change = json.loads(request.environ["wsgi.input"].read())
+        self._changes.append((now_s(), change["id"], change["state"]))
+        return json_response(200, {})
--- /dev/null
+++ b/daisystack/standins/plain_service.py
@@ -0,0 +1,46 @@
+"""Stand in for a plain service, such as a ledger, that counts how often each action ran."""
+
+from __future__ import annotations
+
+import json
+import secrets
+
+import eventlet
+from attrs import define, field
+
+from daisystack.runtime.web import Request, Response, Route, json_response
+
+__all__ = ["PlainServiceStandin"]
+
+
+@define(eq=False)
+class PlainServiceStandin:
+    """Run each request it gets, and never check for repeats itself."""
+
+    work_s: float = 0.02
+    life: str = field(factory=lambda: secrets.token_hex(4))
+    in_flight: int = 0
+    runs: dict[str, int] = field(factory=dict)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the service."""
+        return [
+            Route("GET", "/state", self._state),
+            Route("GET", "/runs", self._runs),
+            Route("POST", "/", self._run),
+        ]
+
+    def _state(self, request: Request, rest: str) -> Response:
+        return json_response(200, {"life": self.life, "in_flight": self.in_flight})
+
+    def _runs(self, request: Request, rest: str) -> Response:
+        return json_response(200, {"runs": self.runs})
+
+    def _run(self, request: Request, rest: str) -> Response:
+        ask = json.loads(request.environ["wsgi.input"].read())
+        self.in_flight += 1
+        action = str(ask["id"])
+        self.runs[action] = self.runs.get(action, 0) + 1
+        eventlet.sleep(float(ask.get("work_s", self.work_s)))
+        self.in_flight -= 1
+        return json_response(200, {"id": action, "run": self.runs[action]})
--- /dev/null
+++ b/daisystack/standins/site.py
@@ -0,0 +1,126 @@
+"""Describe a small site: its zones, its pools and the document that lists them."""
+
+from __future__ import annotations
+
+import json
+
+from attrs import field, frozen
+
+from daisystack.standins.weights import MadeVersion, make_version
+
+__all__ = ["SiteShape", "dump_document", "made_versions", "site_document"]
+
+MODEL = "assistant"
+VERSIONS = ("a", "b", "c")
+# Offsets of the platform's ports from the base port.
+CONFIG, LIVE_LIST, STORE, ORIGIN = range(4)
+
+
+@frozen
+class SiteShape:
+    """Hold what the register of a small site is made from; all on one IP number."""
+
+    host: str
+    base_port: int
+    regions: tuple[str, ...] = ("mtl", "qc", "sag")
+    entries: int = 2
+    agents: int = 6
+    ledgers: int = 3
+    instance_bytes_per_s: float = 4_000_000.0
+    region_pair_bytes_per_s: float = 1_375_000.0
+    max_loading: int = 2
+    checks_fencing: bool = True
+    takeover_s: float = 2.0
+    workspaces: tuple[str, ...] = field(default=("underwriting", "servicing", "dealers"))
+
+    def address(self, offset: int) -> str:
+        """Return the address at an offset from the base port."""
+        return f"{self.host}:{self.base_port + offset}"
+
+    def entry_addresses(self, index: int) -> tuple[str, str]:
+        """Return an entry's HTTP and peer addresses."""
+        return self.address(100 + index), self.address(150 + index)
+
+    def agent_addresses(self, index: int) -> tuple[str, str, str]:
+        """Return an agent's HTTP and peer addresses and its engine's."""
+        return self.address(200 + index), self.address(400 + index), self.address(600 + index)
+
+    def zone_of(self, index: int) -> str:
+        """Return the zone of the n-th instance of a kind."""
+        return self.regions[index % len(self.regions)] + "-1"
+
+
+def site_document(shape: SiteShape, versions: list[MadeVersion], serve: str) -> dict:
+    """Return the document of a site whose model pool should serve one version."""
+    model = versions[0].model
+    register = {
+        "regions": list(shape.regions),
+        "zones": [{"name": f"{region}-1", "region": region} for region in shape.regions],
+        "pools": [
+            {"name": "model", "kind": "model", "checks_fencing": shape.checks_fencing},
+            {"name": "ledger", "kind": "service"},
+        ],
+        "models": [{"name": model, "versions": [_version(v) for v in versions]}],
+        "instances": _instances(shape, model, serve),
+    }
+    pairs = [
+        {"a": a, "b": b, "bytes_per_s": shape.region_pair_bytes_per_s}
+        for place, a in enumerate(shape.regions)
+        for b in shape.regions[place + 1 :]
+    ]
+    rules = {
+        "workspaces": [
+            {"name": name, "priority": place} for place, name in enumerate(shape.workspaces)
+        ],
+        "pools": [{"pool": "model", "max_loading": shape.max_loading}],
+        "links": {"instance_bytes_per_s": shape.instance_bytes_per_s, "region_pairs": pairs},
+        "rollout": {"origin_region": shape.regions[0], "takeover_s": shape.takeover_s},
+    }
+    return {"format": 1, "register": register, "rules": rules}
+
+
+def dump_document(document: dict) -> bytes:
+    """Serialize a document for publishing."""
+    return json.dumps(document).encode()
+
+
+def made_versions(
+    size_bytes: int, chunk_bytes: int, seed: int, shared_part: float
+) -> list[MadeVersion]:
+    """Make the versions that the stand-ins hold; later ones share chunks with the first."""
+    first = make_version(MODEL, VERSIONS[0], size_bytes, chunk_bytes, seed)
+    later = [
+        make_version(MODEL, name, size_bytes, chunk_bytes, seed, first, shared_part)
+        for name in VERSIONS[1:]
+    ]
+    return [first, *later]
+
+
+def _version(version: MadeVersion) -> dict:
+    return {
+        "name": version.version,
+        "manifest_digest": version.manifest_digest,
+        "size_bytes": version.size_bytes,
+    }
+
+
+def _instances(shape: SiteShape, model: str, serve: str) -> list[dict]:
+    found = []
+    for index in range(shape.entries):
+        http, peer = shape.entry_addresses(index)
+        found.append(_instance(f"e{index + 1}", "entry", shape.zone_of(index), http, peer))
+    for index in range(shape.agents + shape.ledgers):
+        http, peer, _ = shape.agent_addresses(index)
+        if index < shape.agents:
+            line = _instance(f"m{index + 1}", "upstream", shape.zone_of(index), http, peer)
+            line |= {"pool": "model", "serves": [{"model": model, "version": serve}]}
+        else:
+            place = index - shape.agents
+            line = _instance(f"s{place + 1}", "upstream", shape.zone_of(place), http, peer)
+            line |= {"pool": "ledger"}
+        found.append(line)
+    return found
+
+
+def _instance(id: str, role: str, zone: str, http: str, peer: str) -> dict:
+    return {"id": id, "role": role, "zone": zone, "http_address": http, "peer_address": peer}
--- /dev/null
+++ b/daisystack/tests/test_verdicts.py
@@ -0,0 +1,25 @@
+import unittest
+
+from daisystack.core.verdicts import AttemptEnd, Verdict, combine_verdicts, judge_attempt
+
+
+class TestVerdicts(unittest.TestCase):
+    def test_not_run_is_only_said_before_any_byte(self):
+        table = {
+            AttemptEnd.NO_UPSTREAM: Verdict.NOT_RUN,
+            AttemptEnd.CONNECT_FAILED: Verdict.NOT_RUN,
+            AttemptEnd.REFUSED_AT_GATE: Verdict.NOT_RUN,
+            AttemptEnd.SEND_FAILED: Verdict.MAY_HAVE_RUN,
+            AttemptEnd.NO_ANSWER: Verdict.MAY_HAVE_RUN,
+            AttemptEnd.ANSWER_CUT: Verdict.MAY_HAVE_RUN,
+            AttemptEnd.CALLER_GONE: Verdict.MAY_HAVE_RUN,
+            AttemptEnd.ANSWERED: Verdict.RAN,
+        }
+        for end, verdict in table.items():
+            with self.subTest(end=end):
+                self.assertIs(judge_attempt(end), verdict)
+
+    def test_one_attempt_that_may_have_run_outweighs_all_that_did_not(self):
+        seen = [Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN]
+        self.assertIs(combine_verdicts(seen), Verdict.MAY_HAVE_RUN)
+        self.assertIs(combine_verdicts([]), Verdict.NOT_RUN)
--- /dev/null
+++ b/daisystack/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the messages between daisystack's own processes."""
--- /dev/null
+++ b/daisystack/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,58 @@
+"""Inject faults into a running site on a script."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from attrs import define, field
+
+from daisystack.standins.site import CONFIG
+from tools.site import Site
+
+__all__ = ["FaultScript"]
+
+FREEZE_S = 4.0
+
+
+@define(eq=False)
+class FaultScript:
+    """Kill an agent, freeze an entry, kill a ledger's agent, show old configuration."""
+
+    site: Site
+    _thread: threading.Thread = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin the script."""
+        self._thread.start()
+
+    def finish(self) -> None:
+        """Wait until every fault is over."""
+        self._thread.join()
+
+    def _run(self) -> None:
+        processes, address = self.site.processes, self.site.shape.address(CONFIG)
+        time.sleep(1.0)
+        self._say("agent m2 killed, agent s1 killed, entry e2 frozen")
+        processes.kill("m2")
+        processes.kill("s1")
+        processes.freeze("e2")
+        self._say("config service shows revision 1 again")
+        self.site.control(address, shown_revision=1)
+        time.sleep(FREEZE_S)
+        self._say("entry e2 goes on, agents m2 and s1 are replaced")
+        processes.thaw("e2")
+        self.site.start_agent(1)
+        self.site.start_agent(self.site.shape.agents)
+        time.sleep(FREEZE_S)
+        self._say("agent m3 frozen and woken")
+        processes.freeze("m3")
+        time.sleep(FREEZE_S)
+        processes.thaw("m3")
+        self.site.control(address, shown_revision=None)
+
+    def _say(self, text: str) -> None:
+        print(f"  fault: {text}", flush=True)
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,199 @@
+"""Send bounded load to the entries of a site as callers would, and judge every answer."""
+
+from __future__ import annotations
+
+import json
+import random
+import secrets
+import threading
+import time
+
+import urllib3
+from attrs import define, field, frozen
+
+__all__ = ["Answer", "Callers", "Tally", "judge_stream", "post_once"]
+
+WORKSPACE = "dealers"
+MAX_RESENDS = 20
+
+
+@frozen
+class Answer:
+    """Hold what a caller got for one request."""
+
+    kind: str
+    verdict: str
+    is_whole: bool
+    is_mixed: bool
+    is_foreign: bool
+    status: int
+    first_token_s: float
+    weights: str = ""
+
+
+@define
+class Tally:
+    """Count answers."""
+
+    sent: int = 0
+    whole: int = 0
+    not_run: int = 0
+    may_have_run: int = 0
+    mixed: int = 0
+    foreign: int = 0
+    first_token_s: list[float] = field(factory=list)
+
+    def add(self, answer: Answer) -> None:
+        """Count one answer."""
+        self.sent += 1
+        self.whole += answer.is_whole
+        self.mixed += answer.is_mixed
+        self.foreign += answer.is_foreign
+        self.not_run += not answer.is_whole and answer.verdict == "not_run"
+        self.may_have_run += not answer.is_whole and answer.verdict != "not_run"
+        if answer.is_whole:
+            self.first_token_s.append(answer.first_token_s)
+
+
+def judge_stream(body: bytes, request_id: str) -> tuple[bool, bool, bool, str]:
+    """Return whether a stream is whole, mixed, or another request's, and its weights."""
+    tokens = []
+    for line in body.decode(errors="replace").splitlines():
+        if line.startswith("data: {"):
+            tokens.append(json.loads(line[6:]))
+    tokens = [token for token in tokens if "i" in token]
+    weights = {token["weights"] for token in tokens}
+    in_order = [token["i"] for token in tokens] == list(range(len(tokens)))
+    foreign = any(token["id"] != request_id for token in tokens)
+    whole = body.endswith(b"data: [DONE]\n\n") and bool(tokens) and in_order
+    return whole, len(weights) > 1 or "none" in weights, foreign, ",".join(sorted(weights))
+
+
+def send_stream(http: urllib3.PoolManager, address: str, tokens: int, **ask: object) -> Answer:
+    """Send one streaming request and read its answer to the end."""
+    request_id = secrets.token_hex(6)
+    body = json.dumps({"id": request_id, "tokens": tokens, **ask}).encode()
+    begun_s = time.monotonic()
+    first_s = 0.0
+    got = bytearray()
+    verdict, status, ended = "may_have_run", 0, False
+    try:
+        response = http.request(
+            "POST",
+            f"http://{address}/v1/models/assistant/generate",
+            body=body,
+            headers={"Daisystack-Workspace": WORKSPACE},
+            preload_content=False,
+        )
+        status = response.status
+        verdict = response.headers.get("Daisystack-Verdict", "may_have_run")
+        for piece in response.stream():
+            first_s = first_s or time.monotonic() - begun_s
+            got += piece
+        ended = True
+        response.release_conn()
+    except urllib3.exceptions.HTTPError as error:
+        if isinstance(error, urllib3.exceptions.NewConnectionError):
+            verdict = "not_run"
+    whole, mixed, foreign, weights = judge_stream(bytes(got), request_id)
+    whole = whole and ended and status == 200
+    # What is not presented as whole is an explicit error and mixes nothing up.
+    return Answer("stream", verdict, whole, whole and mixed, foreign, status, first_s, weights)
+
+
+def post_once(http: urllib3.PoolManager, addresses: list[str], action: str, seed: int) -> str:
+    """Post a non-repeatable action under one ticket, resending through any entry."""
+    draw = random.Random(seed)
+    ticket = _ticket(http, addresses, draw)
+    if ticket is None:
+        return "not_run"
+    for _ in range(MAX_RESENDS):
+        try:
+            response = http.request(
+                "POST",
+                f"http://{draw.choice(addresses)}/v1/services/ledger/post",
+                body=json.dumps({"id": action}).encode(),
+                headers={
+                    "Daisystack-Workspace": WORKSPACE,
+                    "Daisystack-Ticket": ticket,
+                    "Daisystack-Timeout-S": "5",
+                },
+            )
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.1)
+            continue
+        verdict = response.headers.get("Daisystack-Verdict", "may_have_run")
+        if verdict != "may_have_run" or "Retry-After" not in response.headers:
+            return verdict
+        time.sleep(0.2)
+    return "may_have_run"
+
+
+def _ticket(http: urllib3.PoolManager, addresses: list[str], draw: random.Random) -> str | None:
+    for _ in range(MAX_RESENDS):
+        try:
+            url = f"http://{draw.choice(addresses)}/v1/tickets/services/ledger"
+            response = http.request("POST", url)
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.1)
+            continue
+        if response.status == 201:
+            return json.loads(response.data)["ticket"]
+        time.sleep(0.2)
+    return None
+
+
+@define(eq=False)
+class Callers:
+    """Own the threads of callers until they are told to stop."""
+
+    addresses: list[str]
+    streams: int = 6
+    posters: int = 2
+    tokens: int = 20
+    pause_s: float = 0.02
+    seed: int = 1
+    tally: Tally = field(factory=Tally)
+    posts: dict[str, str] = field(factory=dict)
+    _stop: threading.Event = field(factory=threading.Event)
+    _lock: threading.Lock = field(factory=threading.Lock)
+    _threads: list[threading.Thread] = field(factory=list)
+
+    def start(self) -> None:
+        """Start all callers."""
+        for place in range(self.streams):
+            self._spawn(self._stream, place)
+        for place in range(self.posters):
+            self._spawn(self._post, place)
+
+    def stop(self) -> None:
+        """Let each caller finish its request and end."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _spawn(self, target, place: int) -> None:
+        thread = threading.Thread(target=target, args=(place,), daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _http(self) -> urllib3.PoolManager:
+        return urllib3.PoolManager(retries=False, maxsize=8, timeout=15.0)
+
+    def _stream(self, place: int) -> None:
+        http, draw = self._http(), random.Random(f"{self.seed}/stream/{place}")
+        while not self._stop.is_set():
+            answer = send_stream(http, draw.choice(self.addresses), self.tokens)
+            with self._lock:
+                self.tally.add(answer)
+            time.sleep(self.pause_s if answer.is_whole else 0.2)
+
+    def _post(self, place: int) -> None:
+        http, count = self._http(), 0
+        while not self._stop.is_set():
+            action = f"p{place}-{count}"
+            verdict = post_once(http, self.addresses, action, self.seed * 1000 + count)
+            with self._lock:
+                self.posts[action] = verdict
+            count += 1
+            time.sleep(self.pause_s)
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,83 @@
+"""Start, stop, freeze and kill the processes of a site; nothing else starts processes."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from attrs import define, field
+
+__all__ = ["Process", "Processes"]
+
+STOP_WAIT_S = 20.0
+
+
+@define(eq=False)
+class Process:
+    """Own one started process."""
+
+    name: str
+    popen: subprocess.Popen
+    log: Path
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process."""
+        if self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def is_running(self) -> bool:
+        """Say whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def wait(self, timeout_s: float = STOP_WAIT_S) -> int:
+        """Wait for the end and return the exit status."""
+        return self.popen.wait(timeout_s)
+
+
+@define(eq=False)
+class Processes:
+    """Own all processes of a run and end each by its id."""
+
+    log_dir: Path
+    binary: tuple[str, ...] = (sys.executable, "-m", "daisystack")
+    running: dict[str, Process] = field(factory=dict)
+
+    def start(self, name: str, *arguments: str) -> Process:
+        """Start the binary under a name; its output goes to a log file."""
+        self.log_dir.mkdir(parents=True, exist_ok=True)
+        log = self.log_dir / f"{name}.log"
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(
+                [*self.binary, *arguments], stdout=stream, stderr=stream, stdin=subprocess.DEVNULL
+            )
+        process = Process(name, popen, log)
+        self.running[name] = process
+        return process
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.running[name].signal(signal.SIGKILL)
+        self.running[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.running[name].signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a stopped process go on."""
+        self.running[name].signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop in its own time."""
+        self.running[name].signal(signal.SIGTERM)
+
+    def end_all(self) -> None:
+        """End every process that still runs."""
+        for process in self.running.values():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.running.values():
+            process.wait()
--- /dev/null
+++ b/tools/site.py
@@ -0,0 +1,203 @@
+"""Run a whole site of separate processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+
+import urllib3
+from attrs import define, evolve, field
+
+from daisystack.standins.site import (
+    CONFIG,
+    LIVE_LIST,
+    ORIGIN,
+    STORE,
+    SiteShape,
+    dump_document,
+    made_versions,
+    site_document,
+)
+from daisystack.standins.weights import MadeVersion
+from tools.processes import Processes
+
+__all__ = ["Site", "SiteOptions"]
+
+POLL_S = 0.1
+
+
+@define
+class SiteOptions:
+    """Hold what a run may vary."""
+
+    shape: SiteShape
+    size_bytes: int = 8_000_000
+    chunk_bytes: int = 125_000
+    origin_bytes_per_s: float = 8_000_000.0
+    seed: int = 1
+    load_s: float = 0.5
+    token_s: float = 0.01
+    shared_part: float = 0.0
+    lag_s: float = 30.0
+    entry_flags: tuple[str, ...] = ()
+    agent_flags: tuple[str, ...] = ()
+
+
+@define(eq=False)
+class Site:
+    """Own the processes of one site and speak to them as an operator would."""
+
+    options: SiteOptions
+    processes: Processes
+    versions: list[MadeVersion] = field(init=False)
+    http: urllib3.PoolManager = field(
+        factory=lambda: urllib3.PoolManager(retries=False, maxsize=64, timeout=5.0)
+    )
+
+    def __attrs_post_init__(self) -> None:
+        options = self.options
+        self.versions = made_versions(
+            options.size_bytes, options.chunk_bytes, options.seed, options.shared_part
+        )
+
+    @property
+    def shape(self) -> SiteShape:
+        """Return the shape of the site."""
+        return self.options.shape
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-ins, the engines and the services."""
+        options = self.options
+        self.processes.start(
+            "platform",
+            "standins",
+            "platform",
+            f"--base-port={self.shape.base_port}",
+            f"--host={self.shape.host}",
+            f"--size-bytes={options.size_bytes}",
+            f"--chunk-bytes={options.chunk_bytes}",
+            f"--origin-bytes-per-s={options.origin_bytes_per_s}",
+            f"--store-bytes-per-s={options.origin_bytes_per_s}",
+            f"--shared-part={options.shared_part}",
+            f"--seed={options.seed}",
+            f"--lag-s={options.lag_s}",
+        )
+        for index in range(self.shape.agents + self.shape.ledgers):
+            self.start_upstream(index)
+
+    def start_upstream(self, index: int) -> None:
+        """Start the engine or service of the n-th upstream."""
+        address = self.shape.agent_addresses(index)[2]
+        if index < self.shape.agents:
+            fencing = "--checks-fencing" if self.shape.checks_fencing else "--no-checks-fencing"
+            self.processes.start(
+                f"engine-m{index + 1}",
+                "standins",
+                "engine",
+                f"--address={address}",
+                f"--load-s={self.options.load_s}",
+                f"--token-s={self.options.token_s}",
+                fencing,
+            )
+        else:
+            name = f"service-s{index - self.shape.agents + 1}"
+            self.processes.start(name, "standins", "service", f"--address={address}")
+
+    def start_daemons(self) -> None:
+        """Start all entries and agents."""
+        for index in range(self.shape.entries):
+            self.start_entry(index)
+        for index in range(self.shape.agents + self.shape.ledgers):
+            self.start_agent(index)
+
+    def start_entry(self, index: int) -> None:
+        """Start the n-th entry."""
+        http, peer = self.shape.entry_addresses(index)
+        self.processes.start(
+            f"e{index + 1}",
+            "entry",
+            f"--id=e{index + 1}",
+            f"--zone={self.shape.zone_of(index)}",
+            f"--http-address={http}",
+            f"--peer-address={peer}",
+            f"--config-address={self.shape.address(CONFIG)}",
+            f"--live-list-address={self.shape.address(LIVE_LIST)}",
+            f"--peers={self._seeds()}",
+            *self.options.entry_flags,
+        )
+
+    def start_agent(self, index: int, shape: SiteShape | None = None, name: str = "") -> None:
+        """Start the n-th agent; another shape moves its addresses, as for a replacement."""
+        http, peer, _ = (shape or self.shape).agent_addresses(index)
+        upstream = self.shape.agent_addresses(index)[2]
+        is_model = index < self.shape.agents
+        place = index if is_model else index - self.shape.agents
+        id = f"m{index + 1}" if is_model else f"s{place + 1}"
+        self.processes.start(
+            name or id,
+            "agent",
+            f"--id={id}",
+            f"--zone={self.shape.zone_of(place)}",
+            f"--http-address={http}",
+            f"--peer-address={peer}",
+            f"--config-address={self.shape.address(CONFIG)}",
+            f"--store-address={self.shape.address(STORE)}",
+            f"--origin-address={self.shape.address(ORIGIN)}",
+            f"--upstream-address={upstream}",
+            f"--peers={self._seeds()}",
+            *self.options.agent_flags,
+        )
+
+    def publish(self, version: str, shape: SiteShape | None = None) -> int:
+        """Publish a register in which the model pool serves a version."""
+        return self.publish_raw(site_document(shape or self.shape, self.versions, version))
+
+    def publish_raw(self, document: dict) -> int:
+        """Publish a document and return its revision."""
+        url = f"http://{self.shape.address(CONFIG)}/v1/document"
+        return json.loads(self.http.request("PUT", url, body=dump_document(document)).data)[
+            "revision"
+        ]
+
+    def control(self, address: str, **faults: object) -> None:
+        """Set faults of a stand-in."""
+        self.http.request("PUT", f"http://{address}/control", body=json.dumps(faults).encode())
+
+    def get(self, address: str, path: str) -> dict | None:
+        """Return a process's JSON answer, or None when it does not answer."""
+        try:
+            return json.loads(self.http.request("GET", f"http://{address}{path}").data)
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+
+    def status(self, index: int) -> dict | None:
+        """Return the status of the n-th agent."""
+        return self.get(self.shape.agent_addresses(index)[0], "/v1/status")
+
+    def serving(self, version: str) -> int:
+        """Count the model upstreams whose gate is open on a version."""
+        count = 0
+        for index in range(self.shape.agents):
+            status = self.status(index)
+            if status and status["gate_open"]:
+                count += all(ref["version"] == version for ref in status["serving"])
+        return count
+
+    def wait_for(self, what: str, condition, timeout_s: float = 30.0) -> float:
+        """Wait until a condition holds and return how long; raises TimeoutError."""
+        begun_s = time.monotonic()
+        while time.monotonic() - begun_s < timeout_s:
+            if condition():
+                return time.monotonic() - begun_s
+            time.sleep(POLL_S)
+        raise TimeoutError(f"{what}: not within {timeout_s} s")
+
+    def _seeds(self) -> str:
+        return ",".join(self.shape.entry_addresses(i)[1] for i in range(self.shape.entries))
+
+
+def default_site(base_port: int, log_dir: Path, **changes: object) -> Site:
+    """Return a site of the demo's size; changes replace options."""
+    options = evolve(SiteOptions(SiteShape("127.0.0.1", base_port)), **changes)
+    return Site(options, Processes(log_dir))
