Keep serving the verified old version until an instance's own load

Cause: 77 of 232 live streams failed as not_run during a rollout; the audit showed all six gates closing within 46 ms of the new revision, because the gate compared the engine's weights with the new intent at once. Ruled out: retry budget (47 of 77 ended with no_upstream on the first attempt), loading lanes (never more than 2 loads at once). Change: weights on which the gate was opened as intended stay good until the drain before the own load, for the same engine life and fencing number only.

--- a/daisystack/core/gate.py
+++ b/daisystack/core/gate.py
@@ -40,13 +40,19 @@
     read_s: float
 
 
+@frozen
+class _Weights:
+    life: str
+    fence: int
+    serving: frozenset[ModelRef]
+
+
 @define
 class Gate:
-    """Hold one agent's gate; its generation grows with every change of state or weights."""
+    """Hold one agent's gate and the weights it was last opened on."""
 
     reason: GateReason = GateReason.NO_CONFIG
-    generation: int = 0
-    _weights: tuple[str, frozenset[ModelRef]] | None = field(default=None)
+    _verified: _Weights | None = field(default=None)
 
     @property
     def is_open(self) -> bool:
@@ -62,15 +68,19 @@
         draining: bool,
         now_s: float,
     ) -> bool:
-        """Judge the gate anew and say whether it changed; intent None means not listed."""
+        """Judge the gate anew and say whether it changed; intent None means not listed.
+
+        Weights that were intended when the gate opened stay good until the next load, as long as
+        the same life of the engine still serves them under the same order.
+        """
         reason = _judge(intent, report, leaving, superseded, draining, now_s)
-        weights = (report.life, report.serving) if report else None
-        if reason is self.reason and weights == self._weights:
-            return False
+        weights = _Weights(report.life, report.fence, report.serving) if report else None
+        if reason is GateReason.OTHER_WEIGHTS and weights == self._verified:
+            reason = GateReason.OPEN
+        elif reason is GateReason.OPEN:
+            self._verified = weights
         changed = reason is not self.reason
         self.reason = reason
-        self._weights = weights
-        self.generation += 1
         return changed
 
 
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -104,8 +104,8 @@
         if not gate.is_open:
             return f"gate closed: {gate.reason.value}"
         if attempt.model is not None:
-            intent = self.engine.intent() or frozenset()
-            if all(ref.model != attempt.model for ref in intent):
+            report = self.engine.report
+            if report is None or all(ref.model != attempt.model for ref in report.serving):
                 return f"model {attempt.model!r} is not served here"
         if self.in_flight >= QUEUE_FACTOR * self.settings.capacity:
             return "upstream is full"
