--- a/daisystack/tests/test_gate.py
+++ b/daisystack/tests/test_gate.py
@@ -39,7 +39,9 @@
         gate = Gate()
         self.judge(gate, intent=A, seen=report(A))
         self.assertIs(self.judge(gate, intent=B, seen=report(A)), GateReason.OPEN)
-        self.assertIs(self.judge(gate, intent=B, seen=report(A), draining=True), GateReason.DRAINING)
+        self.assertIs(
+            self.judge(gate, intent=B, seen=report(A), draining=True), GateReason.DRAINING
+        )
 
     def test_old_version_of_another_life_or_order_is_not_trusted(self):
         for other in (report(A, life="y"), report(A, fence=2)):
