Refuse a document that is no object, and values of another type, with a path

Looking further, the converter turned null into "None" and "1" into 1 without a word, and json accepts Infinity. Ruled out: nested objects; cattrs wraps their errors and names the path. Change: check for an object first; exact types for text, numbers and flags; infinite numbers and deep nesting refused. Conclusion: a published document of any bytes ends as a list of faults.

--- a/daisystack/core/validation.py
+++ b/daisystack/core/validation.py
@@ -4,10 +4,11 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import cattrs
 from cattrs.preconf.json import make_converter
+from cattrs.v import format_exception
 
 from daisystack.core.addresses import parse_address
 from daisystack.core.register import (
@@ -42,8 +43,32 @@
         return DocumentRefused(self.message, excs)
 
 
-_strict = make_converter(forbid_extra_keys=True)
-_lenient = make_converter(forbid_extra_keys=False)
+def _exactly(*kinds: type) -> Callable[[object, type], object]:
+    def structure(value: object, _: type) -> object:
+        # A converter would turn null into "None" and "5" into 5, and hide the fault.
+        if type(value) not in kinds:
+            names = " or ".join(kind.__name__ for kind in kinds)
+            raise ValueError(f"got {value!r}, allowed is {names}")
+        return value
+
+    return structure
+
+
+def _make_converter(forbid_extra_keys: bool) -> cattrs.Converter:
+    converter = make_converter(forbid_extra_keys=forbid_extra_keys)
+    converter.register_structure_hook(str, _exactly(str))
+    converter.register_structure_hook(int, _exactly(int))
+    converter.register_structure_hook(float, _exactly(float, int))
+    converter.register_structure_hook(bool, _exactly(bool))
+    return converter
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f"got {name}, allowed are finite numbers")
+
+
+_strict = _make_converter(forbid_extra_keys=True)
+_lenient = _make_converter(forbid_extra_keys=False)
 
 
 def read_document(body: bytes) -> SiteDocument:
@@ -63,10 +88,14 @@
         faults.append(DocumentFault("$", message))
         return None
     try:
-        raw = json.loads(body)
-    except ValueError as error:
+        raw = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
         faults.append(DocumentFault("$", f"not JSON: {error}"))
         return None
+    if not isinstance(raw, dict):
+        message = f"got {type(raw).__name__}, allowed is an object"
+        faults.append(DocumentFault("$", message))
+        return None
     try:
         return _strict.structure(raw, SiteDocument)
     except (cattrs.BaseValidationError, cattrs.StructureHandlerNotFoundError) as error:
@@ -79,11 +108,16 @@
 
 
 def _structure_faults(error: Exception) -> Iterator[DocumentFault]:
-    for line in cattrs.transform_error(error, path="$"):
+    for line in cattrs.transform_error(error, path="$", format_exception=_say_fault):
         message, _, path = line.rpartition(" @ ")
         yield DocumentFault(path or "$", message)
 
 
+def _say_fault(error: BaseException, kind: type | None) -> str:
+    text = str(error)
+    return text if text.startswith("got ") else format_exception(error, kind)
+
+
 def _check(document: SiteDocument) -> Iterator[DocumentFault]:
     if document.format != FORMAT:
         yield DocumentFault("$.format", f"got {document.format}, allowed is {FORMAT}")
--- /dev/null
+++ b/daisystack/testing/builders.py
@@ -0,0 +1,37 @@
+"""Build documents, versions and statuses for tests."""
+
+from __future__ import annotations
+
+import json
+
+from daisystack.core.peers import PeerStatus
+from daisystack.core.register import SiteDocument
+from daisystack.core.validation import read_document
+from daisystack.standins.site import SiteShape, site_document
+from daisystack.standins.weights import MadeVersion, make_version
+
+__all__ = ["build_document", "build_raw_document", "build_status", "build_version"]
+
+
+def build_version(version: str = "a", size_bytes: int = 4000, chunk_bytes: int = 500):
+    """Return a small version of the model that built documents serve."""
+    return make_version("assistant", version, size_bytes, chunk_bytes, seed=1)
+
+
+def build_raw_document(
+    serve: str = "a", versions: list[MadeVersion] | None = None, **shape: object
+) -> dict:
+    """Return a published document as plain values, ready to be changed by a test."""
+    versions = versions or [build_version("a"), build_version("b")]
+    return site_document(SiteShape("127.0.0.1", 7000, **shape), versions, serve)
+
+
+def build_document(serve: str = "a", **shape: object) -> SiteDocument:
+    """Return a checked document."""
+    return read_document(json.dumps(build_raw_document(serve, **shape)).encode())
+
+
+def build_status(instance_id: str, **fields: object) -> PeerStatus:
+    """Return a heartbeat's status."""
+    defaults = {"incarnation": "1", "uptime_s": 100.0, "revision": 1, "gate_open": True}
+    return PeerStatus(instance_id, **(defaults | fields))
