Run a non-repeatable request at most once, explored over random interleavings

Ruled out: the owner's table (no ticket began twice), sealing, expiry. Change: the next step follows from the verdict of all attempts; a seal by the owner settles them; a resend during the run waits for it. Tables with one mechanism removed are explored too, so that the check can fail.

--- a/daisystack/core/idempotency.py
+++ b/daisystack/core/idempotency.py
@@ -21,9 +21,6 @@
     "SealOutcome",
 ]
 
-# A record's key, digest, heap entry and object together, rounded up.
-RECORD_BYTES = 700
-
 
 class RecordState(enum.Enum):
     """Say what is known of a ticket on its owner."""
@@ -64,6 +61,7 @@
     verdict: Verdict
     sealed: bool
     reason: str
+    is_running: bool = False
 
 
 @frozen
@@ -166,7 +164,7 @@
         if record.state is RecordState.FINISHED:
             return Replay(record.answer)
         if record.state is RecordState.RUNNING:
-            return BeginRefused(Verdict.MAY_HAVE_RUN, False, "still running")
+            return BeginRefused(Verdict.MAY_HAVE_RUN, False, "still running", is_running=True)
         return BeginRefused(Verdict.MAY_HAVE_RUN, False, "outcome of the run is lost")
 
     def _fault(self, ticket: Ticket, uptime_s: float) -> str | None:
--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -21,6 +21,7 @@
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
 LATEST_RETRY_S = 0.05
+SAME_OWNER_PAUSE_S = 0.1
 
 
 @frozen
@@ -46,7 +47,9 @@
 
 @frozen
 class RetrySameOwner:
-    """Ask the owner of the ticket again; it runs the ticket at most once."""
+    """Ask the owner of the ticket again after a pause; it runs the ticket at most once."""
+
+    pause_s: float
 
 
 @frozen
@@ -80,8 +83,9 @@
     @property
     def verdict(self) -> Verdict:
         """Return the verdict of the request, which speaks of all its attempts everywhere."""
-        if self.outcomes and self.outcomes[-1].sealed:
-            return Verdict.NOT_RUN if self.caller_ticket else self._combined()
+        if self.outcomes and self.outcomes[-1].sealed and not self.repeatable:
+            # It goes on to another ticket only when the one before is known not to run.
+            return Verdict.NOT_RUN
         if self.caller_ticket is not None:
             # Another entry may have sent this ticket before.
             return combine_verdicts([Verdict.MAY_HAVE_RUN, self._combined()])
@@ -95,11 +99,14 @@
         self.outcomes.append(outcome)
         if outcome.end is AttemptEnd.ANSWERED:
             return Done()
-        retry = self._allowed_retry(outcome)
-        out_of_time = now_s >= self.deadline_s - LATEST_RETRY_S
-        if retry is None or out_of_time or len(self.outcomes) >= self.max_attempts:
+        if now_s >= self.deadline_s - LATEST_RETRY_S:
             return self.give_up(outcome)
-        if not budget.take():
+        if outcome.end is AttemptEnd.STILL_RUNNING:
+            # Waiting for the one run costs the upstream nothing and is no retry.
+            self.outcomes.pop()
+            return RetrySameOwner(SAME_OWNER_PAUSE_S)
+        retry = self._allowed_retry(outcome)
+        if retry is None or len(self.outcomes) >= self.max_attempts or not budget.take():
             return self.give_up(outcome)
         return retry
 
@@ -114,11 +121,9 @@
     def _allowed_retry(self, outcome: AttemptOutcome) -> NextStep | None:
         if self.caller_ticket is not None:
             is_final = outcome.sealed or outcome.reported is not None
-            return None if is_final else RetrySameOwner()
-        if outcome.verdict is Verdict.NOT_RUN:
-            return RetryElsewhere()
-        if self.repeatable:
+            return None if is_final else RetrySameOwner(SAME_OWNER_PAUSE_S)
+        if self.repeatable or self.verdict is Verdict.NOT_RUN:
             return RetryElsewhere()
         if outcome.reported is None:
-            return RetrySameOwner()
+            return RetrySameOwner(SAME_OWNER_PAUSE_S)
         return None
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -30,6 +30,7 @@
     ANSWER_CUT = "answer_cut"
     ANSWER_MIXED = "answer_mixed"
     CALLER_GONE = "caller_gone"
+    STILL_RUNNING = "still_running"
     OUTCOME_LOST = "outcome_lost"
     ANSWERED = "answered"
 
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Generator
 
+import eventlet
 from attrs import define, field, frozen
 
 from daisystack.core.register import SiteDocument
@@ -15,7 +16,7 @@
     Done,
     GiveUp,
     RequestState,
-    RetryElsewhere,
+    RetrySameOwner,
 )
 from daisystack.core.retries import RetryBudget
 from daisystack.core.settings import EntrySettings
@@ -89,7 +90,9 @@
             if isinstance(step, GiveUp):
                 return self._give_up(caller, state, step)
             self.retries += 1
-            if isinstance(step, RetryElsewhere):
+            if isinstance(step, RetrySameOwner):
+                eventlet.sleep(step.pause_s)
+            else:
                 chosen = self._choose(caller, state, document)
 
     def _choose(
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -217,9 +217,11 @@
 
 
 def _refused(refused: BeginRefused) -> Response:
-    end = AttemptEnd.REFUSED_AT_GATE
-    if refused.verdict is not Verdict.NOT_RUN:
-        end = AttemptEnd.OUTCOME_LOST
+    end = AttemptEnd.OUTCOME_LOST
+    if refused.verdict is Verdict.NOT_RUN:
+        end = AttemptEnd.REFUSED_AT_GATE
+    elif refused.is_running:
+        end = AttemptEnd.STILL_RUNNING
     return _failure(end, refused.verdict, refused.sealed, refused.reason)
 
 
--- /dev/null
+++ b/daisystack/tests/test_at_most_once.py
@@ -0,0 +1,279 @@
+"""Random interleavings of losses, delays, pauses and restarts over the decisions alone."""
+
+import random
+import sys
+import unittest
+
+from attrs import define, field
+
+from daisystack.core.idempotency import (
+    BeginRefused,
+    IdempotencyTable,
+    RecordedAnswer,
+    Replay,
+    Run,
+    SealOutcome,
+)
+from daisystack.core.requests import (
+    AttemptOutcome,
+    Done,
+    GiveUp,
+    RequestState,
+    RetryElsewhere,
+)
+from daisystack.core.retries import RetryBudget
+from daisystack.core.tickets import mint_ticket
+from daisystack.core.verdicts import AttemptEnd, Verdict
+
+INTERLEAVINGS = 2000
+STEPS = 120
+OWNERS = ("o1", "o2", "o3")
+LIFETIME_S = 40.0
+
+
+class ForgetfulTable(IdempotencyTable):
+    """Believe tickets of earlier lives, as a table without incarnations would."""
+
+    def _fault(self, ticket, uptime_s):
+        fault = super()._fault(ticket, uptime_s)
+        return None if fault and "earlier life" in fault else fault
+
+
+class UnsealedTable(IdempotencyTable):
+    """Say not run without making sure that the ticket never runs later."""
+
+    def seal(self, ticket, uptime_s):
+        known = self._records.get(ticket)
+        return super().seal(ticket, uptime_s) if known else SealOutcome(None, True)
+
+
+class ExpiryBlindTable(IdempotencyTable):
+    """Forget expired tickets but run them again."""
+
+    def _fault(self, ticket, uptime_s):
+        fault = super()._fault(ticket, uptime_s)
+        return None if fault == "ticket has expired" else fault
+
+
+@define(eq=False)
+class Life:
+    """One life of an owner: its process may be paused or dead while messages wait for it."""
+
+    table: IdempotencyTable
+    started_s: float
+    is_dead: bool = False
+    is_full: bool = False
+
+
+@define(eq=False)
+class Action:
+    ticket: object | None
+    verdicts: list = field(factory=list)
+    runs: int = 0
+
+
+@define(eq=False)
+class Attempt:
+    action: Action
+    state: RequestState
+    ticket: object
+    life: Life
+    is_open: bool = True
+
+
+class World:
+    def __init__(self, seed, table_kind):
+        self.draw = random.Random(seed)
+        self.table_kind = table_kind
+        self.now_s = 100.0
+        self.lives = []
+        self.current = {}
+        self.actions = []
+        self.waiting = []
+        self.budget = RetryBudget(ratio=1.0)
+        for name in OWNERS:
+            self.restart(name)
+
+    def restart(self, name):
+        """Start a new life; the old one may stay alive, paused, and wake up late."""
+        old = self.current.get(name)
+        if old is not None and self.draw.random() < 0.7:
+            old.is_dead = True
+        table = self.table_kind(name, f"i{len(self.lives)}", max_records=12)
+        self.current[name] = Life(table, self.now_s)
+        self.lives.append(self.current[name])
+
+    def new_action(self):
+        action = Action(self.mint() if self.draw.random() < 0.6 else None)
+        self.actions.append(action)
+        self.send(action)
+
+    def mint(self, name=None):
+        # Heartbeats lag, so a ticket may name a life that has ended.
+        names = [life for life in self.lives if name is None or life.table.owner == name]
+        life = self.draw.choice(names[-6:])
+        uptime_s = max(0.0, self.now_s - life.started_s - self.draw.uniform(0, 5))
+        nonce = f"n{self.draw.randrange(10**9)}"
+        owner, incarnation = life.table.owner, life.table.incarnation
+        return mint_ticket(owner, incarnation, uptime_s, LIFETIME_S, nonce)
+
+    def send(self, action):
+        """Send through some entry; each sending has its own state and knows no other."""
+        state = RequestState(False, self.now_s + 20, action.ticket)
+        self.attempt(action, state, action.ticket or self.mint())
+
+    def attempt(self, action, state, ticket):
+        life = self.current[ticket.owner]
+        attempt = Attempt(action, state, ticket, life)
+        if life.is_dead or self.draw.random() < 0.05:
+            self.ended(attempt, AttemptOutcome(AttemptEnd.CONNECT_FAILED, ticket.owner))
+        else:
+            self.waiting.append(("arrive", attempt))
+
+    def ended(self, attempt, outcome):
+        if not attempt.is_open:
+            return
+        attempt.is_open = False
+        step = attempt.state.after(outcome, self.budget, self.now_s)
+        if isinstance(step, Done):
+            attempt.action.verdicts.append(Verdict.RAN)
+        elif isinstance(step, GiveUp):
+            attempt.action.verdicts.append(step.verdict)
+        else:
+            elsewhere = isinstance(step, RetryElsewhere)
+            ticket = self.mint() if elsewhere else attempt.ticket
+            self.attempt(attempt.action, attempt.state, ticket)
+
+    def arrive(self, attempt):
+        life, ticket = attempt.life, attempt.ticket
+        uptime_s = self.now_s - life.started_s
+        if self.draw.random() < 0.15:
+            begun = life.table.refuse(ticket, "gate closed", uptime_s)
+        else:
+            begun = life.table.begin(ticket, "body", uptime_s)
+        if isinstance(begun, Run):
+            self.waiting.append(("run", attempt))
+        elif isinstance(begun, Replay):
+            self.waiting.append(("reply", (attempt, answered(ticket))))
+        elif isinstance(begun, BeginRefused):
+            self.waiting.append(("reply", (attempt, refused(ticket, begun))))
+
+    def run(self, attempt):
+        """Reach the service; the agent may be dead by now, but its bytes still arrive."""
+        table, ticket = attempt.life.table, attempt.ticket
+        fate = self.draw.random()
+        if fate < 0.1:
+            table.finish_not_run(ticket)
+            outcome = AttemptOutcome(AttemptEnd.CONNECT_FAILED, ticket.owner, True, Verdict.NOT_RUN)
+        elif fate < 0.25:
+            attempt.action.runs += self.draw.random() < 0.5
+            table.finish_unknown(ticket)
+            outcome = AttemptOutcome(
+                AttemptEnd.NO_ANSWER, ticket.owner, False, Verdict.MAY_HAVE_RUN
+            )
+        else:
+            attempt.action.runs += 1
+            table.finish(ticket, RecordedAnswer(200, "text/plain", b"done"))
+            outcome = answered(ticket)
+        self.waiting.append(("reply", (attempt, outcome)))
+
+    def step(self):
+        self.now_s += self.draw.uniform(0, 1.5)
+        choice = self.draw.random()
+        if choice < 0.12:
+            self.new_action()
+        elif choice < 0.22 and self.actions:
+            action = self.draw.choice(self.actions)
+            if action.ticket is not None:
+                self.send(action)
+        elif choice < 0.27:
+            self.restart(self.draw.choice(OWNERS))
+        elif choice < 0.35 and self.waiting:
+            self.lose(self.waiting[self.draw.randrange(len(self.waiting))])
+        elif self.waiting:
+            self.deliver(self.draw.randrange(len(self.waiting)))
+
+    def lose(self, message):
+        """Let an entry give up waiting; what it sent stays on its way."""
+        kind, content = message
+        attempt = content[0] if kind == "reply" else content
+        self.ended(attempt, AttemptOutcome(AttemptEnd.NO_ANSWER, attempt.ticket.owner))
+
+    def deliver(self, place):
+        kind, content = self.waiting.pop(place)
+        if kind == "arrive":
+            if content.life.is_dead:
+                self.ended(content, AttemptOutcome(AttemptEnd.NO_ANSWER, content.ticket.owner))
+            else:
+                self.arrive(content)
+        elif kind == "run":
+            self.run(content)
+        else:
+            attempt, outcome = content
+            self.ended(attempt, outcome)
+
+    def settle(self):
+        while self.waiting:
+            self.deliver(self.draw.randrange(len(self.waiting)))
+
+    def faults(self):
+        found = []
+        for action in self.actions:
+            if action.runs > 1:
+                found.append("ran twice")
+            if Verdict.NOT_RUN in action.verdicts and action.runs:
+                found.append("not run but ran")
+            if Verdict.RAN in action.verdicts and not action.runs:
+                found.append("ran but did not")
+        return found
+
+
+def answered(ticket):
+    return AttemptOutcome(AttemptEnd.ANSWERED, ticket.owner)
+
+
+def refused(ticket, begun):
+    end = AttemptEnd.OUTCOME_LOST
+    if begun.verdict is Verdict.NOT_RUN:
+        end = AttemptEnd.REFUSED_AT_GATE
+    elif begun.is_running:
+        end = AttemptEnd.STILL_RUNNING
+    return AttemptOutcome(end, ticket.owner, begun.sealed, begun.verdict)
+
+
+def explore(table_kind, count):
+    found, runs, verdicts = [], 0, {verdict: 0 for verdict in Verdict}
+    for seed in range(count):
+        world = World(seed, table_kind)
+        for _ in range(STEPS):
+            world.step()
+        world.settle()
+        found += [(seed, fault) for fault in world.faults()]
+        runs += sum(action.runs for action in world.actions)
+        for action in world.actions:
+            for verdict in action.verdicts:
+                verdicts[verdict] += 1
+    return found, runs, verdicts
+
+
+class TestAtMostOnce(unittest.TestCase):
+    def test_no_interleaving_runs_a_ticket_twice_or_belies_its_verdict(self):
+        found, runs, verdicts = explore(IdempotencyTable, INTERLEAVINGS)
+        self.assertEqual(found, [])
+        # The exploration is worth nothing unless every verdict was given often.
+        self.assertGreater(runs, INTERLEAVINGS)
+        self.assertGreater(min(verdicts.values()), INTERLEAVINGS)
+
+    def test_the_exploration_catches_tables_without_a_mechanism(self):
+        for kind in (ForgetfulTable, UnsealedTable, ExpiryBlindTable):
+            with self.subTest(kind=kind.__name__):
+                self.assertTrue(explore(kind, 300)[0])
+
+
+if __name__ == "__main__":
+    count = int(sys.argv[1])
+    for kind in (IdempotencyTable, ForgetfulTable, UnsealedTable, ExpiryBlindTable):
+        found, runs, verdicts = explore(kind, count)
+        given = {verdict.value: count for verdict, count in verdicts.items()}
+        print(f"{kind.__name__}: {count} interleavings, {runs} runs, {given}")
+        print(f"  broken in {len({seed for seed, _ in found})}, first {found[:2]}")
