Judge each failure point of an upstream over real sockets, and refuse foreign answers

Writing the table showed two answers that would have been passed on: one that names no request and one that a server sends for another request on the same connection. Ruled out: urllib3's own check of a connection before reuse; it misses an answer that arrives between the check and the next request. Change: the agent repeats the ticket on its answer and the entry refuses any other; the agent never reuses a connection to its engine. A scripted server in testing/, 15 failure points x repeatable or not, connect refused and timed out, caller gone, abandoned connection, 15 bad inputs.

--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -29,6 +29,7 @@
     NO_ANSWER = "no_answer"
     ANSWER_CUT = "answer_cut"
     ANSWER_MIXED = "answer_mixed"
+    ANSWER_FOREIGN = "answer_foreign"
     CALLER_GONE = "caller_gone"
     STILL_RUNNING = "still_running"
     OUTCOME_LOST = "outcome_lost"
--- a/daisystack/runtime/agent.py
+++ b/daisystack/runtime/agent.py
@@ -79,7 +79,7 @@
         return Forwarder(
             self.daemon,
             self.engine,
-            UpstreamHttp(settings.upstream_address, settings.progress_timeout_s),
+            UpstreamHttp(settings.upstream_address, settings.progress_timeout_s, False),
             IdempotencyTable(
                 settings.id, self.daemon.incarnation, max_records=settings.max_tickets
             ),
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -120,7 +120,7 @@
             left_s = caller.deadline_s - now_s()
             http = self.upstreams.http(chosen.instance)
             answer = http.send(f"/v1/forward{caller.path}", caller.body, sent, left_s)
-            attempted = self._take(caller, instance_id, answer)
+            attempted = self._take(caller, chosen, answer)
             streaming = attempted.response is not None and answer.is_stream
             return attempted
         except AttemptFailed as failure:
@@ -129,10 +129,14 @@
             if not streaming:
                 self.upstreams.in_flight.end(instance_id)
 
-    def _take(self, caller: CallerRequest, instance_id: str, answer: UpstreamAnswer) -> _Attempted:
+    def _take(self, caller: CallerRequest, chosen: Chosen, answer: UpstreamAnswer) -> _Attempted:
+        instance_id = chosen.instance.id
         end = answer.header(headers.ATTEMPT_END)
         if end is not None:
             return _Attempted(_reported(instance_id, AttemptEnd(end), answer))
+        if answer.header(headers.TICKET) != str(chosen.ticket):
+            answer.abandon()
+            raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another ticket")
         marks = _marks(caller, instance_id, answer)
         outcome = AttemptOutcome(AttemptEnd.ANSWERED, instance_id)
         if not answer.is_stream:
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -74,7 +74,7 @@
         if isinstance(begun, BeginRefused):
             return _refused(begun)
         if isinstance(begun, Replay):
-            return _replayed(begun)
+            return _replayed(begun, attempt.ticket)
         return self._run(attempt)
 
     def seal(self, text: str) -> SealOutcome:
@@ -147,7 +147,7 @@
             self.in_flight -= 1
         recorded = RecordedAnswer(answer.status, answer.content_type, body)
         self._settle(attempt, recorded)
-        return Response(recorded.status, body, recorded.content_type, self._marks(answer))
+        return Response(recorded.status, body, recorded.content_type, self._marks(attempt, answer))
 
     def _stream(
         self, attempt: _Attempt, answer: UpstreamAnswer, seen: EngineReport | None
@@ -158,7 +158,7 @@
             self.in_flight -= 1
 
         body = StreamBody(self._pass_on(attempt, answer, seen), abort)
-        return Response(answer.status, body, answer.content_type, self._marks(answer))
+        return Response(answer.status, body, answer.content_type, self._marks(attempt, answer))
 
     def _pass_on(
         self, attempt: _Attempt, answer: UpstreamAnswer, seen: EngineReport | None
@@ -180,8 +180,12 @@
         finally:
             self.in_flight -= 1
 
-    def _marks(self, answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
-        marks = [(headers.VERDICT, Verdict.RAN.value), (headers.SERVED_BY, self.settings.id)]
+    def _marks(self, attempt: _Attempt, answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
+        marks = [
+            (headers.VERDICT, Verdict.RAN.value),
+            (headers.SERVED_BY, self.settings.id),
+            (headers.TICKET, str(attempt.ticket)),
+        ]
         serving = answer.header(headers.SERVING)
         if serving is not None:
             marks.append((headers.SERVING, serving))
@@ -225,12 +229,16 @@
     return _failure(end, refused.verdict, refused.sealed, refused.reason)
 
 
-def _replayed(replay: Replay) -> Response:
+def _replayed(replay: Replay, ticket: Ticket) -> Response:
     if replay.answer is None:
         reason = "it ran; its answer was too large to keep"
         return _failure(AttemptEnd.OUTCOME_LOST, Verdict.RAN, False, reason)
     answer = replay.answer
-    marks = ((headers.VERDICT, Verdict.RAN.value), ("Daisystack-Replayed", "yes"))
+    marks = (
+        (headers.VERDICT, Verdict.RAN.value),
+        (headers.TICKET, str(ticket)),
+        (headers.REPLAYED, "yes"),
+    )
     return Response(answer.status, answer.body, answer.content_type, marks)
 
 
--- a/daisystack/runtime/headers.py
+++ b/daisystack/runtime/headers.py
@@ -8,6 +8,7 @@
     "MODEL",
     "PREFIX",
     "REPEATABLE",
+    "REPLAYED",
     "REQUEST_ID",
     "RETRY_AFTER",
     "SEALED",
@@ -27,6 +28,7 @@
 VERDICT = "Daisystack-Verdict"
 REQUEST_ID = "Daisystack-Request-Id"
 SERVED_BY = "Daisystack-Served-By"
+REPLAYED = "Daisystack-Replayed"
 RETRY_AFTER = "Retry-After"
 
 # Between entry and agent only.
--- a/daisystack/runtime/upstream_http.py
+++ b/daisystack/runtime/upstream_http.py
@@ -106,6 +106,8 @@
 
     address: str
     progress_timeout_s: float
+    # Without reuse an answer that comes late can't meet another request.
+    reuses_connections: bool = True
     _pool: urllib3.HTTPConnectionPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -118,6 +120,8 @@
         self, path: str, body: bytes, headers: dict[str, str], timeout_s: float
     ) -> UpstreamAnswer:
         """Send a request and return its answer's head; raises AttemptFailed."""
+        if not self.reuses_connections:
+            headers = headers | {"Connection": "close"}
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=max(0.01, timeout_s))
         try:
             with eventlet.Timeout(max(0.01, timeout_s) + CONNECT_TIMEOUT_S):
--- /dev/null
+++ b/daisystack/tests/test_entry_verdicts.py
@@ -0,0 +1,224 @@
+"""Contract of an entry over real sockets: each failure point of its upstream and the verdict."""
+
+import contextlib
+import json
+import socket
+import unittest
+from io import BytesIO
+
+import eventlet
+
+from daisystack.core.config_keeper import Published
+from daisystack.core.settings import EntrySettings
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.entry import Entry
+from daisystack.runtime.web import BadRequest, Request
+from daisystack.testing import build_raw_document, build_status
+from daisystack.testing.scripted import (
+    ScriptedServer,
+    answer,
+    cut,
+    echo,
+    free_address,
+    reset,
+    silence,
+    ticket_line,
+)
+
+REFUSED = answer(
+    b'{"error": "gate closed"}',
+    "503 Service Unavailable",
+    "Daisystack-Verdict: not_run\r\nDaisystack-Attempt-End: refused_at_gate\r\n"
+    "Daisystack-Sealed: yes\r\n",
+)
+LOST = answer(
+    b'{"error": "engine died"}',
+    "502 Bad Gateway",
+    "Daisystack-Verdict: may_have_run\r\nDaisystack-Attempt-End: no_answer\r\n",
+)
+FOREIGN = answer(b"another's", head="Daisystack-Ticket: s1.1.9.other\r\n")
+STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+ONE_EVENT = b"9\r\ndata: 1\n\n\r\n"
+ONE_LEDGER = {"agents": 0, "ledgers": 1}
+
+
+def make_entry(address, **settings):
+    """Return an entry whose only upstream is a ledger at an address."""
+    addresses = [free_address() for _ in range(4)]
+    entry = Entry(EntrySettings("e1", "mtl-1", *addresses, **settings))
+    document = build_raw_document(regions=["mtl"], **ONE_LEDGER)
+    document["register"]["instances"][-1]["http_address"] = address
+    offer = Published(1, json.dumps(document).encode())
+    entry.daemon.config.keeper.offer(offer, "test", now_s())
+    entry.daemon.heartbeats.peers.heard(build_status("s1", capacity=8), now_s())
+    return entry
+
+
+def post(entry, body=b"{}", path="ledger/post", **headers):
+    environ = {
+        "HTTP_DAISYSTACK_WORKSPACE": "dealers",
+        "HTTP_DAISYSTACK_TIMEOUT_S": "2",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": BytesIO(body),
+    }
+    environ |= {f"HTTP_DAISYSTACK_{name.upper()}": value for name, value in headers.items()}
+    request = Request("POST", "/v1/services/" + path, environ)
+    return entry.requests.handle(request, path, "services")
+
+
+def begin_stream(sock):
+    """Send the head and one event of a stream that names the request's own ticket."""
+    line = ticket_line(sock)
+    sock.sendall(f"{STREAM_HEAD}{line}\r\n\r\n".encode() + ONE_EVENT)
+
+
+def header(response, name):
+    return dict(response.headers).get(name)
+
+
+class TestEntryVerdicts(unittest.TestCase):
+    def check(self, script, verdict, repeatable, status=None):
+        server = ScriptedServer([script])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address, progress_timeout_s=0.3)
+        response = post(entry, repeatable=repeatable)
+        self.assertEqual(header(response, "Daisystack-Verdict"), verdict)
+        self.assertEqual(json.loads(response.body)["verdict"], verdict)
+        self.assertEqual(entry.requests.in_flight, 0)
+        self.assertEqual(entry.upstreams.in_flight["s1"], 0)
+        return response, server
+
+    def test_failure_points(self):
+        table = {
+            "dies while headers are sent": (reset(0), "may_have_run"),
+            "dies while the body is sent": (reset(10), "may_have_run"),
+            "dies before the first answer byte": (cut(b""), "may_have_run"),
+            "dies in the status line": (cut(b"HTTP/1.1 20"), "may_have_run"),
+            "dies in the headers": (cut(b"HTTP/1.1 200 OK\r\nConte"), "may_have_run"),
+            "dies in the body": (cut(answer(b"12", length=9)), "may_have_run"),
+            "goes silent in the body": (silence(answer(b"12", length=9)), "may_have_run"),
+            "goes silent before it answers": (silence(), "may_have_run"),
+            "answers without a length": (cut(b"HTTP/1.1 200 OK\r\n\r\nhalf"), "may_have_run"),
+            "speaks no HTTP": (cut(b"220 ready\r\n"), "may_have_run"),
+            "answers with no ticket": (cut(answer(b"whose?")), "may_have_run"),
+            "answers another ticket": (cut(FOREIGN), "may_have_run"),
+            "refuses at the gate": (cut(REFUSED), "not_run"),
+            "reports a lost outcome": (cut(LOST), "may_have_run"),
+            "cuts a stream before its first event": (
+                cut(f"{STREAM_HEAD}\r\n".encode()),
+                "may_have_run",
+            ),
+        }
+        for name, (script, verdict) in table.items():
+            for repeatable in ("yes", "no"):
+                with self.subTest(name=name, repeatable=repeatable):
+                    self.check(script, verdict, repeatable)
+
+    def test_connect_refused_is_not_run(self):
+        entry = make_entry(free_address())
+        response = post(entry)
+        self.assertEqual(header(response, "Daisystack-Verdict"), "not_run")
+        self.assertEqual(header(response, "Retry-After"), "1")
+
+    def test_connect_timeout_is_not_run(self):
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            # A full backlog drops further connections without an answer.
+            for _ in range(2):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listener.getsockname())
+            entry = make_entry(f"127.0.0.1:{listener.getsockname()[1]}")
+            response = post(entry)
+        self.assertEqual(header(response, "Daisystack-Verdict"), "not_run")
+
+    def test_a_lost_answer_is_asked_for_at_the_same_owner_only_if_not_repeatable(self):
+        server = ScriptedServer([cut(b""), echo(b"done")])
+        self.addCleanup(server.close)
+        response = post(make_entry(server.address), repeatable="no")
+        self.assertEqual((response.status, response.body), (200, b"done"))
+
+    def test_a_callers_ticket_is_never_called_not_run_without_a_seal(self):
+        ticket = "s1.1.200000.abc"
+        entry = make_entry(free_address())
+        self.assertEqual(header(post(entry, ticket=ticket), "Daisystack-Verdict"), "may_have_run")
+        server = ScriptedServer([cut(REFUSED)])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address)
+        self.assertEqual(header(post(entry, ticket=ticket), "Daisystack-Verdict"), "not_run")
+        gone = "s9.1.200000.abc"
+        self.assertEqual(header(post(entry, ticket=gone), "Daisystack-Verdict"), "may_have_run")
+
+    def test_a_stream_cut_midway_ends_in_an_error_event_and_no_last_chunk(self):
+        server = ScriptedServer([begin_stream])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address)
+        body = post(entry, repeatable="yes").body
+        got = [next(body), next(body)]
+        self.assertEqual(got[0], b"data: 1\n\n")
+        self.assertIn(b"event: error", got[1])
+        with self.assertRaises(Exception):  # noqa: B017  (any abort keeps the last chunk back)
+            next(body)
+        self.assertEqual(entry.requests.in_flight, 0)
+
+    def test_a_caller_that_leaves_cancels_the_upstreams_stream(self):
+        ended = []
+
+        def script(sock):
+            begin_stream(sock)
+            ended.append(sock.recv(1))
+
+        server = ScriptedServer([script])
+        self.addCleanup(server.close)
+        for take in (0, 1):
+            with self.subTest(pieces_taken=take):
+                entry = make_entry(server.address)
+                body = post(entry, repeatable="yes").body
+                for _ in range(take):
+                    next(body)
+                body.close()
+                self.assertEqual(entry.requests.in_flight, 0)
+                self.assertEqual(entry.upstreams.in_flight["s1"], 0)
+        eventlet.sleep(0.05)
+        self.assertEqual(ended, [b"", b""])
+
+    def test_an_abandoned_connection_is_never_used_again(self):
+        late = answer(b"late answer of the first request")
+        server = ScriptedServer([silence(late[:-4]), echo(b"own")])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address, progress_timeout_s=0.2)
+        post(entry, repeatable="no", timeout_s="0.5")
+        response = post(entry, repeatable="no")
+        self.assertEqual(response.body, b"own")
+        self.assertGreaterEqual(server.connections, 2)
+
+
+class TestBadInput(unittest.TestCase):
+    def test_each_fault_is_refused_before_anything_is_sent(self):
+        server = ScriptedServer([echo(b"sent")])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address, max_body_bytes=100)
+        table = [
+            dict(workspace="nobody"),
+            dict(workspace=""),
+            dict(timeout_s="soon"),
+            dict(timeout_s="-1"),
+            dict(timeout_s="nan"),
+            dict(timeout_s="1e9"),
+            dict(repeatable="maybe"),
+            dict(ticket="mine"),
+            dict(ticket="a.b.c.d"),
+            dict(ticket="x" * 5000),
+            dict(prefix="a b"),
+            dict(path="nothing/post"),
+            dict(path="ledger/a?b"),
+            dict(path="ledger/" + "x" * 600),
+            dict(body=b"x" * 101),
+        ]
+        for fault in table:
+            with self.subTest(fault=str(fault)[:60]), self.assertRaises(BadRequest) as caught:
+                post(entry, **fault)
+            self.assertLess(len(str(caught.exception)), 1000)
+        self.assertEqual((server.connections, entry.requests.in_flight), (0, 0))
