--- /dev/null
+++ b/daisystack/core/admission.py
@@ -0,0 +1,166 @@
+"""Decide who waits for an upstream, who goes next, and who is shed at once."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+
+from attrs import define, field, frozen
+
+__all__ = ["AdmissionQueue", "DrainRate", "Waiting", "WorkspaceLimits"]
+
+# Each n-th turn ignores priorities, so that no workspace waits for ever.
+OPEN_TURN = 8
+RATE_WINDOW_S = 5.0
+MIN_RATE_AGE_S = 0.5
+
+
+@frozen
+class WorkspaceLimits:
+    """Hold a workspace's priority (higher goes first) and its share."""
+
+    name: str
+    priority: int
+    share: float
+
+
+@define(eq=False)
+class Waiting:
+    """Hold one request that waits."""
+
+    workspace: WorkspaceLimits
+    until_s: float
+
+
+@define
+class DrainRate:
+    """Measure how many requests per second the upstreams finish."""
+
+    _ends_s: deque[float] = field(factory=deque)
+    _since_s: float | None = None
+
+    def ended(self, now_s: float) -> None:
+        """Count a finished request."""
+        if self._since_s is None:
+            self._since_s = now_s
+        self._ends_s.append(now_s)
+
+    def per_s(self, now_s: float) -> float | None:
+        """Return the rate over the window, None while too little is known."""
+        while self._ends_s and self._ends_s[0] < now_s - RATE_WINDOW_S:
+            self._ends_s.popleft()
+        if self._since_s is None or now_s - self._since_s < MIN_RATE_AGE_S:
+            return None
+        return len(self._ends_s) / min(RATE_WINDOW_S, now_s - self._since_s)
+
+
+@define
+class _Line:
+    limits: WorkspaceLimits
+    used: float = 0.0
+    waiting: deque[Waiting] = field(factory=deque)
+
+
+@define
+class AdmissionQueue:
+    """Queue requests by priority and fair share, within a bound."""
+
+    max_waiting: int
+    rate: DrainRate = field(factory=DrainRate)
+    _lines: dict[str, _Line] = field(factory=dict)
+    _size: int = 0
+    _turn: int = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def expected_wait_s(self, priority: int, now_s: float) -> float:
+        """Estimate the wait of a newcomer from those that go before it."""
+        rate = self.rate.per_s(now_s)
+        if rate is None:
+            return 0.0
+        ahead = sum(
+            len(line.waiting) for line in self._lines.values() if line.limits.priority >= priority
+        )
+        return (ahead + 1) / rate if rate else float("inf")
+
+    def enter(self, newcomer: Waiting) -> Waiting | None:
+        """Queue a newcomer and return who is shed for it: None, another, or itself."""
+        shed = None
+        if self._size >= self.max_waiting:
+            shed = self._least_entitled(newcomer)
+            if shed is newcomer:
+                return newcomer
+            self.leave(shed)
+        line = self._line(newcomer.workspace)
+        if not line.waiting:
+            self._catch_up(line)
+        line.waiting.append(newcomer)
+        self._size += 1
+        return shed
+
+    def leave(self, waiting: Waiting) -> None:
+        """Take a request out of the queue."""
+        self._lines[waiting.workspace.name].waiting.remove(waiting)
+        self._size -= 1
+
+    def order(self) -> list[Waiting]:
+        """Return the first of each workspace, the one that goes next first."""
+        busy = [line for line in self._lines.values() if line.waiting]
+        is_open = (self._turn + 1) % OPEN_TURN == 0
+
+        def entitlement(line: _Line) -> tuple[int, float, str]:
+            priority = 0 if is_open else -line.limits.priority
+            return (priority, line.used, line.limits.name)
+
+        return [line.waiting[0] for line in sorted(busy, key=entitlement)]
+
+    def take(self, waiting: Waiting) -> None:
+        """Take out a request that is dispatched now."""
+        self._turn += 1
+        self.leave(waiting)
+        self.charge(waiting.workspace)
+
+    def charge(self, limits: WorkspaceLimits) -> None:
+        """Count a dispatched request against its workspace's share."""
+        line = self._line(limits)
+        if not line.waiting:
+            self._catch_up(line)
+        line.used += 1.0 / limits.share
+
+    def expired(self, now_s: float) -> Iterator[Waiting]:
+        """Take out and yield those that waited too long."""
+        for line in self._lines.values():
+            late = [waiting for waiting in line.waiting if waiting.until_s <= now_s]
+            for waiting in late:
+                self.leave(waiting)
+                yield waiting
+
+    def _line(self, limits: WorkspaceLimits) -> _Line:
+        line = self._lines.get(limits.name)
+        if line is None:
+            line = self._lines[limits.name] = _Line(limits)
+            self._catch_up(line)
+        line.limits = limits
+        return line
+
+    def _catch_up(self, line: _Line) -> None:
+        # A workspace that was idle gets no credit for the past.
+        busy = [other.used for other in self._lines.values() if other.waiting]
+        line.used = max(line.used, min(busy, default=line.used))
+
+    def _least_entitled(self, newcomer: Waiting) -> Waiting:
+        """Return the newest request of the lowest priority's most demanding workspace."""
+        lines = [line for line in self._lines.values() if line.waiting]
+        own = newcomer.workspace
+
+        def demand(line: _Line) -> tuple[float, float]:
+            extra = 1 if line.limits.name == own.name else 0
+            return (-line.limits.priority, (len(line.waiting) + extra) / line.limits.share)
+
+        if all(line.limits.name != own.name for line in lines):
+            lines.append(_Line(own, waiting=deque([newcomer])))
+        worst = max(lines, key=demand)
+        if worst.limits.name == own.name:
+            return newcomer
+        return worst.waiting[-1]
--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -69,16 +69,20 @@
 
 
 def upstreams_of_entry(document: SiteDocument, me: str) -> list[str]:
-    """Return the upstreams an entry routes to: near ones first, some of every pool."""
+    """Return the upstreams an entry routes to: near ones first, some for every target."""
     zone = document.instances[me].zone
     region = document.regions_by_zone[zone]
+    groups: dict[str, list[str]] = {}
+    for instance in document.upstreams:
+        names = [serving.model for serving in instance.serves] or [instance.pool or ""]
+        for name in names:
+            groups.setdefault(f"{instance.pool}/{name}", []).append(instance.id)
     found: list[str] = []
-    for pool in document.register.pools:
-        members = [i for i in document.upstreams if i.pool == pool.name]
-        ranked = rank_members(f"subset/{me}/{pool.name}", [i.id for i in members])
+    for name, members in groups.items():
+        ranked = rank_members(f"subset/{me}/{name}", members)
         ranked.sort(key=lambda id: _distance(document, document.instances[id], zone, region))
         near = ranked[: MAX_UPSTREAMS_PER_ENTRY * 2 // 3]
-        far = rank_members(f"subset/{me}/{pool.name}", set(ranked) - set(near))
+        far = rank_members(f"subset/{me}/{name}", set(ranked) - set(near))
         found += near + far[: MAX_UPSTREAMS_PER_ENTRY - len(near)]
     return found
 
--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -33,6 +33,7 @@
     sealed: bool = False
     reported: Verdict | None = None
     reason: str = ""
+    crashed: bool = False
 
     @property
     def verdict(self) -> Verdict:
@@ -80,6 +81,14 @@
     max_attempts: int = MAX_ATTEMPTS
     outcomes: list[AttemptOutcome] = field(factory=list)
 
+    def tried(self) -> frozenset[str]:
+        """Return the upstreams that had their chance; a lost connection is not their fault."""
+        return frozenset(
+            outcome.instance_id
+            for outcome in self.outcomes
+            if outcome.instance_id and outcome.end is not AttemptEnd.NEVER_ARRIVED
+        )
+
     @property
     def verdict(self) -> Verdict:
         """Return the verdict of the request, which speaks of all its attempts everywhere."""
@@ -112,7 +121,7 @@
 
     def give_up(self, outcome: AttemptOutcome) -> GiveUp:
         """Return the final answer; coming back helps unless the outcome is settled."""
-        settled = outcome.end is AttemptEnd.OUTCOME_LOST
+        settled = outcome.end in (AttemptEnd.OUTCOME_LOST, AttemptEnd.HELD)
         verdict = self.verdict
         may_come_back = verdict is Verdict.NOT_RUN or self.repeatable or self.caller_ticket
         retry_after_s = RETRY_AFTER_S if may_come_back and not settled else None
--- a/daisystack/core/routing.py
+++ b/daisystack/core/routing.py
@@ -11,11 +11,18 @@
 from daisystack.core.register import Instance, SiteDocument
 from daisystack.core.rendezvous import hash_unit
 
-__all__ = ["Candidate", "InFlightCounts", "Target", "choose_upstream", "list_candidates"]
+__all__ = [
+    "Candidate",
+    "InFlightCounts",
+    "Target",
+    "choose_upstream",
+    "is_for",
+    "list_candidates",
+]
 
 DEFAULT_CAPACITY = 8
 AFFINITY_LOAD_BOUND = 1.25
-SPILL_LOAD = 1.0
+FULL_LOAD = 1.0
 
 
 @frozen
@@ -38,9 +45,10 @@
 
 @define
 class InFlightCounts:
-    """Count the own requests at each upstream."""
+    """Count the own requests at each upstream, now and when its newest report came."""
 
     _counts: dict[str, int] = field(factory=dict)
+    _at_report: dict[str, int] = field(factory=dict)
 
     def __getitem__(self, instance_id: str) -> int:
         return self._counts.get(instance_id, 0)
@@ -57,27 +65,38 @@
         else:
             self._counts.pop(instance_id, None)
 
+    def reported(self, instance_id: str) -> None:
+        """Remember the own count that a report already contains."""
+        self._at_report[instance_id] = self[instance_id]
+
+    def estimate(self, status: PeerStatus) -> int:
+        """Estimate an upstream's requests: its report, with the own changes since."""
+        own = self[status.instance_id]
+        changed = own - self._at_report.get(status.instance_id, 0)
+        return max(own, status.in_flight + changed)
+
 
 def list_candidates(
     document: SiteDocument,
+    members: Sequence[Instance],
     target: Target,
     zone: str,
     peers: PeerTable,
     in_flight: InFlightCounts,
     now_s: float,
 ) -> list[Candidate]:
-    """Return the upstreams whose gate is known to be open for the target."""
+    """Return the members whose gate is known to be open for the target."""
     allowed = document.zones_by_model.get(target.model) if target.model else None
     found = []
-    for instance in document.upstreams:
-        if not _is_for(instance, target) or (allowed is not None and instance.zone not in allowed):
+    for instance in members:
+        if allowed is not None and instance.zone not in allowed:
             continue
         status = peers.status(instance.id)
         if status is None or peers.state(instance.id, now_s) is PeerState.SUSPECTED:
             continue
         if status.leaving or not status.gate_open:
             continue
-        load = _load(status, in_flight[instance.id])
+        load = in_flight.estimate(status) / (status.capacity or DEFAULT_CAPACITY)
         found.append(Candidate(instance, load, _distance(document, zone, instance), status))
     return found
 
@@ -85,7 +104,7 @@
 def choose_upstream(
     candidates: Sequence[Candidate], prefix: str | None, draw: random.Random
 ) -> Candidate | None:
-    """Choose near before far and affinity before load, within bounds on load."""
+    """Choose near before far and affinity before load; None when all are full."""
     near = _nearest_with_room(candidates)
     if not near:
         return None
@@ -96,17 +115,13 @@
     return min(pair, key=lambda candidate: candidate.load)
 
 
-def _is_for(instance: Instance, target: Target) -> bool:
+def is_for(instance: Instance, target: Target) -> bool:
+    """Say whether an instance is listed for a target."""
     if target.pool is not None:
         return instance.pool == target.pool
     return any(serving.model == target.model for serving in instance.serves)
 
 
-def _load(status: PeerStatus, own: int) -> float:
-    capacity = status.capacity or DEFAULT_CAPACITY
-    return max(own, status.in_flight) / capacity
-
-
 def _distance(document: SiteDocument, zone: str, instance: Instance) -> int:
     if instance.zone == zone:
         return 0
@@ -115,11 +130,9 @@
 
 
 def _nearest_with_room(candidates: Sequence[Candidate]) -> list[Candidate]:
-    for distance in sorted({candidate.distance for candidate in candidates}):
-        reachable = [c for c in candidates if c.distance <= distance]
-        if min(c.load for c in reachable) < SPILL_LOAD:
-            return reachable
-    return list(candidates)
+    roomy = [candidate for candidate in candidates if candidate.load < FULL_LOAD]
+    nearest = min((candidate.distance for candidate in roomy), default=0)
+    return [candidate for candidate in roomy if candidate.distance == nearest]
 
 
 def _by_affinity(near: Sequence[Candidate], prefix: str) -> Candidate:
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -21,6 +21,7 @@
 
     NO_UPSTREAM = "no_upstream"
     SHED = "shed"
+    HELD = "held"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     CONNECT_FAILED = "connect_failed"
     REFUSED_AT_GATE = "refused_at_gate"
--- a/daisystack/runtime/agent.py
+++ b/daisystack/runtime/agent.py
@@ -168,9 +168,10 @@
         """Seal a ticket that never arrived."""
         try:
             outcome = self.agent.forwarder.seal(ask.ticket)
+            crashed = self.agent.forwarder.is_blamed(ask.ticket)
         except ValueError:
-            return ttypes.SealAnswer(RecordState.UNKNOWN.value)
-        return ttypes.SealAnswer(outcome.state.value)
+            return ttypes.SealAnswer(RecordState.UNKNOWN.value, False)
+        return ttypes.SealAnswer(outcome.state.value, crashed)
 
 
 def run_agent(settings: AgentSettings) -> None:
--- a/daisystack/runtime/daemon.py
+++ b/daisystack/runtime/daemon.py
@@ -216,4 +216,4 @@
 
     def seal(self, ask: ttypes.SealAsk) -> ttypes.SealAnswer:
         """Seal nothing."""
-        return ttypes.SealAnswer("refused")
+        return ttypes.SealAnswer("unknown", False)
--- a/daisystack/runtime/entry.py
+++ b/daisystack/runtime/entry.py
@@ -23,6 +23,7 @@
 from daisystack.runtime.events import ServiceReadFailed
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.upstreams import Upstreams
+from daisystack.runtime.waiting_room import WaitingRoom
 from daisystack.runtime.web import BadRequest, Request, Response, Route, json_response
 
 __all__ = ["Entry", "run_entry"]
@@ -45,14 +46,17 @@
         settings = self.settings
         self.daemon = Daemon("entry", settings, self._fill_status, entry_neighbours, self._is_ready)
         self.upstreams = Upstreams(
+            settings.id,
             settings.zone,
             self.daemon.heartbeats,
             lambda: self.daemon.document,
             settings.progress_timeout_s,
         )
         budget = RetryBudget(ratio=settings.retry_ratio)
-        self.requests = EntryRequests(settings, self.upstreams, budget)
+        room = WaitingRoom(settings.max_queue, settings.max_queue_wait_s)
+        self.requests = EntryRequests(settings, self.upstreams, budget, room)
         self.daemon.config.on_accepted.append(self._take_config)
+        self.daemon.heartbeats.on_heard.append(self._heard)
 
     def start(self) -> None:
         """Listen and start the tasks."""
@@ -65,16 +69,25 @@
             Route("GET", "/metrics", self._metrics),
         ]
         self.daemon.start(routes, PeerHandler(self.daemon))
+        self.requests.room.start()
         eventlet.spawn(self._read_live_list)
 
     def _is_ready(self) -> bool:
         return self.daemon.document is not None
 
     def _take_config(self, config: AcceptedConfig) -> None:
-        self.upstreams.forget_all_but(config.document)
+        self.upstreams.take_document(config.document)
+
+    def _heard(self, status: PeerStatus) -> None:
+        self.upstreams.in_flight.reported(status.instance_id)
+        if status.crash_counts:
+            self.requests.hold.heard(status.instance_id, status.crash_counts, now_s())
+        self.requests.room.pump()
 
     def _fill_status(self, status: PeerStatus, at_s: float) -> PeerStatus:
-        return attrs.evolve(status, in_flight=self.requests.in_flight)
+        return attrs.evolve(
+            status, in_flight=self.requests.in_flight, crash_counts=self.requests.hold.told(at_s)
+        )
 
     def _read_live_list(self) -> None:
         live_list = HttpLiveList(HttpEndpoint(self.settings.live_list_address))
@@ -110,15 +123,17 @@
             raise BadRequest(f"got {kind[:64]!r}, allowed are {MODELS} and {SERVICES}")
         target = parse_target(kind, name, document)
         lifetime_s = MAX_TICKET_LIFETIME_S / 2
-        chosen = self.upstreams.choose(document, target, None, set(), lifetime_s)
-        if chosen is None:
+        ticket = self.upstreams.mint(document, target, lifetime_s)
+        if ticket is None:
             body = {"verdict": "not_run", "error": "no upstream takes tickets now"}
             return json_response(503, body, (("Retry-After", "1"),))
-        return json_response(201, {"ticket": str(chosen.ticket), "lifetime_s": lifetime_s})
+        return json_response(201, {"ticket": str(ticket), "lifetime_s": lifetime_s})
 
     def _metrics(self, request: Request, rest: str) -> Response:
         set_gauge = self.daemon.set_gauge
         set_gauge("in_flight", "Requests in progress", self.requests.in_flight)
+        set_gauge("waiting", "Requests that wait for an upstream", len(self.requests.room))
+        set_gauge("shed", "Requests shed", self.requests.room.shed_count)
         set_gauge("retries", "Retries sent", self.requests.retries)
         for (verdict, end), count in self.requests.ended.items():
             labels = {"verdict": verdict, "end": end}
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import json
+import hashlib
 import logging
-import math
 from collections.abc import Generator
 
 import eventlet
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
+from daisystack.core.admission import WorkspaceLimits
+from daisystack.core.crash_hold import CrashHold, Suspicion
 from daisystack.core.register import SiteDocument
 from daisystack.core.requests import (
     AttemptOutcome,
@@ -20,20 +21,28 @@
 )
 from daisystack.core.retries import RetryBudget
 from daisystack.core.settings import EntrySettings
-from daisystack.core.verdicts import AttemptEnd, Verdict
+from daisystack.core.verdicts import AttemptEnd, Verdict, judge_attempt
 from daisystack.runtime import headers
+from daisystack.runtime.answers import (
+    answer_marks,
+    error_event,
+    failure_response,
+    reported_outcome,
+)
 from daisystack.runtime.caller_request import CallerRequest, parse_request
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import RequestEnded
 from daisystack.runtime.logs import log_event
+from daisystack.runtime.silence_probe import SilenceProbe, ask_ticket_state
 from daisystack.runtime.upstream_http import AttemptFailed, UpstreamAnswer
-from daisystack.runtime.upstreams import Chosen, Upstreams
-from daisystack.runtime.web import Request, Response, StreamBody, json_response
+from daisystack.runtime.upstreams import Chosen, Upstreams, Wish
+from daisystack.runtime.waiting_room import NotAdmitted, WaitingRoom
+from daisystack.runtime.web import Request, Response, StreamBody
 
 __all__ = ["EntryRequests"]
 
 MAX_PLAIN_ANSWER_BYTES = 8_000_000
-NO_CONFIG = "no configuration is in force yet"
+NO_CONFIG = GiveUp(Verdict.NOT_RUN, AttemptEnd.NO_UPSTREAM, "no configuration is in force yet", 1.0)
 
 _logger = logging.getLogger("daisystack.requests")
 
@@ -53,6 +62,8 @@
     settings: EntrySettings
     upstreams: Upstreams
     budget: RetryBudget
+    room: WaitingRoom
+    hold: CrashHold = field(factory=CrashHold)
     in_flight: int = 0
     ended: dict[tuple[str, str], int] = field(factory=dict)
     retries: int = 0
@@ -61,7 +72,7 @@
         """Answer one request of a caller."""
         document = self.upstreams.document
         if document is None:
-            return _failure(GiveUp(Verdict.NOT_RUN, AttemptEnd.NO_UPSTREAM, NO_CONFIG, 1.0), "")
+            return failure_response(NO_CONFIG, "")
         caller = parse_request(request, rest, kind, document, self.settings, now_s())
         self.in_flight += 1
         self.budget.earn()
@@ -76,14 +87,14 @@
         return response
 
     def _run(self, caller: CallerRequest, state: RequestState, document: SiteDocument) -> Response:
-        chosen = self._choose(caller, state, document)
+        chosen: Chosen | None = None
         while True:
             if chosen is None:
-                end = AttemptEnd.NO_UPSTREAM
-                outcome = AttemptOutcome(end, reason="no upstream takes it now")
-                state.outcomes.append(outcome)
-                return self._give_up(caller, state, state.give_up(outcome))
-            attempted = self._attempt(caller, chosen, state)
+                try:
+                    chosen = self._choose(caller, state, document)
+                except NotAdmitted as refusal:
+                    return self._not_admitted(caller, state, refusal)
+            attempted = self._attempt(caller, chosen)
             step = state.after(attempted.outcome, self.budget, now_s())
             if isinstance(step, Done):
                 return self._pass_on(caller, state, attempted.response)
@@ -92,72 +103,115 @@
             self.retries += 1
             if isinstance(step, RetrySameOwner):
                 eventlet.sleep(step.pause_s)
+                self.upstreams.count_again(chosen)
             else:
-                chosen = self._choose(caller, state, document)
+                chosen = None
 
-    def _choose(
-        self, caller: CallerRequest, state: RequestState, document: SiteDocument
-    ) -> Chosen | None:
+    def _choose(self, caller: CallerRequest, state: RequestState, document: SiteDocument) -> Chosen:
+        suspicion = self.hold.judge(_fingerprint(caller), now_s())
+        if suspicion is Suspicion.HELD:
+            raise NotAdmitted(AttemptEnd.HELD, "it crashed the upstreams that ran it", 0.0)
         if caller.ticket is not None:
-            return self.upstreams.owner(document, caller.ticket)
-        tried = {outcome.instance_id for outcome in state.outcomes}
-        left_s = caller.deadline_s - now_s()
-        return self.upstreams.choose(document, caller.target, caller.prefix, tried, left_s)
+            chosen = self.upstreams.begin_with_owner(document, caller.ticket)
+            if chosen is None:
+                raise NotAdmitted(AttemptEnd.NO_UPSTREAM, "the ticket's owner is not listed", 1.0)
+            return chosen
+        if not self.upstreams.has_members(document, caller.target, state.tried()):
+            raise NotAdmitted(AttemptEnd.NO_UPSTREAM, "no upstream is left for it", 1.0)
+        wish = Wish(
+            target=caller.target,
+            left_s=caller.deadline_s - now_s(),
+            prefix=caller.prefix,
+            is_suspect=suspicion is Suspicion.SUSPECT,
+            unwanted=state.tried(),
+        )
+        workspace = document.workspaces[caller.workspace]
+        limits = WorkspaceLimits(workspace.name, workspace.priority, workspace.share)
+        return self.room.admit(
+            caller.target, limits, caller.deadline_s, lambda: self.upstreams.begin(document, wish)
+        )
 
-    def _attempt(self, caller: CallerRequest, chosen: Chosen, state: RequestState) -> _Attempted:
-        instance_id = chosen.instance.id
+    def _not_admitted(
+        self, caller: CallerRequest, state: RequestState, refusal: NotAdmitted
+    ) -> Response:
+        outcome = AttemptOutcome(refusal.end, reason=refusal.reason)
+        state.outcomes.append(outcome)
+        step = state.give_up(outcome)
+        if step.retry_after_s is not None:
+            step = evolve(step, retry_after_s=refusal.retry_after_s)
+        return self._give_up(caller, state, step)
+
+    def _attempt(self, caller: CallerRequest, chosen: Chosen) -> _Attempted:
+        streaming = False
+        try:
+            attempted = self._send(caller, chosen)
+            body = attempted.response.body if attempted.response else None
+            streaming = isinstance(body, StreamBody)
+        except AttemptFailed as failure:
+            attempted = _Attempted(self._failed(chosen, failure))
+        finally:
+            if not streaming:
+                self._left(caller, chosen)
+        if attempted.outcome.crashed:
+            self.hold.died(_fingerprint(caller), now_s())
+        return attempted
+
+    def _send(self, caller: CallerRequest, chosen: Chosen) -> _Attempted:
+        left_s = caller.deadline_s - now_s()
         sent = {
             headers.TICKET: str(chosen.ticket),
             headers.REPEATABLE: "yes" if caller.repeatable else "no",
-            headers.DEADLINE: f"{max(0.0, caller.deadline_s - now_s()):.3f}",
+            headers.DEADLINE: f"{max(0.0, left_s):.3f}",
+            headers.SUSPECT: "yes" if chosen.is_suspect else "no",
             "Content-Type": caller.content_type,
         }
         if caller.target.model is not None:
             sent[headers.MODEL] = caller.target.model
-        self.upstreams.in_flight.begin(instance_id)
-        streaming = False
-        try:
-            left_s = caller.deadline_s - now_s()
-            http = self.upstreams.http(chosen.instance)
+        http = self.upstreams.http(chosen.instance)
+        with SilenceProbe(chosen.instance.peer_address, chosen.ticket):
             answer = http.send(f"/v1/forward{caller.path}", caller.body, sent, left_s)
-            attempted = self._take(caller, chosen, answer)
-            streaming = attempted.response is not None and answer.is_stream
-            return attempted
-        except AttemptFailed as failure:
-            return _Attempted(AttemptOutcome(failure.end, instance_id, reason=failure.reason))
-        finally:
-            if not streaming:
-                self.upstreams.in_flight.end(instance_id)
+        return self._take(caller, chosen, answer)
+
+    def _failed(self, chosen: Chosen, failure: AttemptFailed) -> AttemptOutcome:
+        instance_id = chosen.instance.id
+        if judge_attempt(failure.end) is Verdict.NOT_RUN:
+            sealed = failure.end is AttemptEnd.NEVER_ARRIVED
+            if sealed:
+                self.upstreams.renew(chosen.instance)
+            return AttemptOutcome(failure.end, instance_id, sealed, reason=failure.reason)
+        self.upstreams.renew(chosen.instance)
+        known = ask_ticket_state(chosen.instance.peer_address, chosen.ticket)
+        crashed = known is not None and known.crashed
+        return AttemptOutcome(failure.end, instance_id, reason=failure.reason, crashed=crashed)
 
     def _take(self, caller: CallerRequest, chosen: Chosen, answer: UpstreamAnswer) -> _Attempted:
         instance_id = chosen.instance.id
         end = answer.header(headers.ATTEMPT_END)
         if end is not None:
-            return _Attempted(_reported(instance_id, AttemptEnd(end), answer))
+            return _Attempted(reported_outcome(instance_id, end, answer))
         if answer.header(headers.TICKET) != str(chosen.ticket):
             answer.abandon()
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another ticket")
-        marks = _marks(caller, instance_id, answer)
+        marks = answer_marks(caller.request_id, instance_id, answer)
         outcome = AttemptOutcome(AttemptEnd.ANSWERED, instance_id)
         if not answer.is_stream:
-            body = answer.read_whole(MAX_PLAIN_ANSWER_BYTES)
-            return _Attempted(outcome, Response(answer.status, body, answer.content_type, marks))
+            whole = answer.read_whole(MAX_PLAIN_ANSWER_BYTES)
+            return _Attempted(outcome, Response(answer.status, whole, answer.content_type, marks))
         pieces = answer.pieces()
         # Until the first piece is here nothing has reached the caller and a retry is possible.
         first = next(pieces, b"")
-        body = self._stream(caller, instance_id, answer, first, pieces)
 
         def abort() -> None:
             answer.abandon()
-            self._stream_ended(caller, instance_id, AttemptEnd.CALLER_GONE)
+            self._stream_ended(caller, chosen, AttemptEnd.CALLER_GONE)
 
-        response = Response(answer.status, StreamBody(body, abort), answer.content_type, marks)
-        return _Attempted(outcome, response)
+        body = StreamBody(self._stream(caller, chosen, answer, first, pieces), abort)
+        return _Attempted(outcome, Response(answer.status, body, answer.content_type, marks))
 
     def _stream(
         self,
         caller: CallerRequest,
-        instance_id: str,
+        chosen: Chosen,
         answer: UpstreamAnswer,
         first: bytes,
         pieces: Generator[bytes],
@@ -170,20 +224,26 @@
             end = AttemptEnd.ANSWERED
         except AttemptFailed as failure:
             end = failure.end
-            yield _error_event(Verdict.MAY_HAVE_RUN, failure.reason)
+            if self._failed(chosen, failure).crashed:
+                self.hold.died(_fingerprint(caller), now_s())
+            yield error_event(Verdict.MAY_HAVE_RUN, failure.reason)
             # The missing last chunk tells the caller that the answer is not whole.
             raise
         finally:
             if end is not AttemptEnd.ANSWERED:
                 answer.abandon()
-            self._stream_ended(caller, instance_id, end)
+            self._stream_ended(caller, chosen, end)
 
-    def _stream_ended(self, caller: CallerRequest, instance_id: str, end: AttemptEnd) -> None:
+    def _stream_ended(self, caller: CallerRequest, chosen: Chosen, end: AttemptEnd) -> None:
         self.in_flight -= 1
-        self.upstreams.in_flight.end(instance_id)
+        self._left(caller, chosen)
         verdict = Verdict.RAN if end is AttemptEnd.ANSWERED else Verdict.MAY_HAVE_RUN
         self._log(caller, verdict, end, 1)
 
+    def _left(self, caller: CallerRequest, chosen: Chosen) -> None:
+        self.upstreams.end(chosen)
+        self.room.ended(caller.target)
+
     def _pass_on(self, caller: CallerRequest, state: RequestState, response: Response) -> Response:
         if not isinstance(response.body, StreamBody):
             self._log(caller, Verdict.RAN, AttemptEnd.ANSWERED, len(state.outcomes))
@@ -191,12 +251,11 @@
 
     def _give_up(self, caller: CallerRequest, state: RequestState, step: GiveUp) -> Response:
         self._log(caller, step.verdict, step.end, len(state.outcomes))
-        return _failure(step, caller.request_id)
+        return failure_response(step, caller.request_id)
 
     def _log(self, caller: CallerRequest, verdict: Verdict, end: AttemptEnd, attempts: int) -> None:
         key = (verdict.value, end.value)
         self.ended[key] = self.ended.get(key, 0) + 1
-        took_s = now_s() - caller.begun_s
         event = RequestEnded(
             caller.request_id,
             caller.workspace,
@@ -204,54 +263,11 @@
             verdict.value,
             end.value,
             attempts,
-            took_s,
+            now_s() - caller.begun_s,
         )
         log_event(_logger, event)
 
 
-def _reported(instance_id: str, end: AttemptEnd, answer: UpstreamAnswer) -> AttemptOutcome:
-    body = answer.read_whole(MAX_PLAIN_ANSWER_BYTES)
-    try:
-        reason = json.loads(body).get("error", "")
-    except (ValueError, AttributeError):
-        reason = ""
-    return AttemptOutcome(
-        end=end,
-        instance_id=instance_id,
-        sealed=answer.header(headers.SEALED) == "yes",
-        reported=Verdict(answer.header(headers.VERDICT)),
-        reason=reason,
-    )
-
-
-def _marks(
-    caller: CallerRequest, instance_id: str, answer: UpstreamAnswer
-) -> tuple[tuple[str, str], ...]:
-    marks = [
-        (headers.VERDICT, Verdict.RAN.value),
-        (headers.REQUEST_ID, caller.request_id),
-        (headers.SERVED_BY, instance_id),
-    ]
-    serving = answer.header(headers.SERVING)
-    if serving is not None:
-        marks.append((headers.SERVING, serving))
-    return tuple(marks)
-
-
-def _error_event(verdict: Verdict, reason: str) -> bytes:
-    body = json.dumps({"verdict": verdict.value, "error": reason})
-    return f"event: error\ndata: {body}\n\n".encode()
-
-
-def _failure(step: GiveUp, request_id: str) -> Response:
-    marks = [(headers.VERDICT, step.verdict.value), (headers.REQUEST_ID, request_id)]
-    if step.retry_after_s is not None:
-        marks.append((headers.RETRY_AFTER, str(math.ceil(step.retry_after_s))))
-    body = {"verdict": step.verdict.value, "end": step.end.value, "error": step.reason}
-    return json_response(_status(step), body, tuple(marks))
-
-
-def _status(step: GiveUp) -> int:
-    if step.verdict is not Verdict.NOT_RUN:
-        return 502
-    return 429 if step.end is AttemptEnd.SHED else 503
+def _fingerprint(caller: CallerRequest) -> str:
+    named = f"{caller.workspace}/{caller.target}/{caller.path}\x00".encode()
+    return hashlib.blake2b(named + caller.body, digest_size=12).hexdigest()
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -8,6 +8,7 @@
 import attrs
 from attrs import define, field, frozen
 
+from daisystack.core.crash_blame import CrashBlame
 from daisystack.core.gate import EngineReport
 from daisystack.core.idempotency import (
     BeginRefused,
@@ -43,6 +44,7 @@
 class _Attempt:
     ticket: Ticket
     repeatable: bool
+    is_suspect: bool
     model: str | None
     path: str
     body: bytes
@@ -59,6 +61,7 @@
     upstream: UpstreamHttp
     table: IdempotencyTable
     settings: AgentSettings
+    blame: CrashBlame = field(factory=CrashBlame)
     in_flight: int = 0
     runs: int = field(default=0)
 
@@ -77,6 +80,10 @@
             return _replayed(begun, attempt.ticket)
         return self._run(attempt)
 
+    def is_blamed(self, text: str) -> bool:
+        """Say whether a ticket is blamed for the death of an engine."""
+        return self.blame.is_blamed(parse_ticket(text))
+
     def seal(self, text: str) -> SealOutcome:
         """Seal a ticket on behalf of an entry that heard nothing of it."""
         return self.table.seal(parse_ticket(text), self.daemon.uptime_s(now_s()))
@@ -91,6 +98,7 @@
         return _Attempt(
             ticket=ticket,
             repeatable=request.header(headers.REPEATABLE) == "yes",
+            is_suspect=request.header(headers.SUSPECT) == "yes",
             model=request.header(headers.MODEL),
             path="/" + rest,
             body=body,
@@ -109,6 +117,8 @@
                 return f"model {attempt.model!r} is not served here"
         if self.in_flight >= QUEUE_FACTOR * self.settings.capacity:
             return "upstream is full"
+        if attempt.is_suspect and self.blame.has_suspect:
+            return "another suspect of a crash is running"
         if now_s() >= attempt.deadline_s:
             return "deadline has passed"
         return None
@@ -117,13 +127,15 @@
         self.in_flight += 1
         self.runs += 1
         seen = self.engine.report
+        self.blame.begin(attempt.ticket, seen.life if seen else "", attempt.is_suspect)
         try:
             answer = self._send(attempt)
         except AttemptFailed as failure:
-            self.in_flight -= 1
-            return self._failed(attempt, failure)
+            failed = self._failed(attempt, failure, seen)
+            self._left(attempt)
+            return failed
         except BaseException:
-            self.in_flight -= 1
+            self._left(attempt)
             self._settle_unknown(attempt)
             raise
         if answer.is_stream:
@@ -142,9 +154,9 @@
             body = answer.read_whole(self.settings.max_answer_bytes)
             self._check_weights(seen)
         except AttemptFailed as failure:
-            return self._failed(attempt, failure)
+            return self._failed(attempt, failure, seen)
         finally:
-            self.in_flight -= 1
+            self._left(attempt)
         recorded = RecordedAnswer(answer.status, answer.content_type, body)
         self._settle(attempt, recorded)
         return Response(recorded.status, body, recorded.content_type, self._marks(attempt, answer))
@@ -155,7 +167,7 @@
         def abort() -> None:
             answer.abandon()
             self._settle_unknown(attempt)
-            self.in_flight -= 1
+            self._left(attempt)
 
         body = StreamBody(self._pass_on(attempt, answer, seen), abort)
         return Response(answer.status, body, answer.content_type, self._marks(attempt, answer))
@@ -172,13 +184,15 @@
                 yield piece
             self._check_weights(seen)
             self._settle(attempt, RecordedAnswer(answer.status, answer.content_type, bytes(kept)))
-        except BaseException:
+        except BaseException as error:
             # Without the closing chunk the entry sees that the answer is cut.
             answer.abandon()
             self._settle_unknown(attempt)
+            if isinstance(error, AttemptFailed):
+                self._look_for_crash(seen)
             raise
         finally:
-            self.in_flight -= 1
+            self._left(attempt)
 
     def _marks(self, attempt: _Attempt, answer: UpstreamAnswer) -> tuple[tuple[str, str], ...]:
         marks = [
@@ -198,14 +212,27 @@
         if report is None or seen is None or _weights(report) != _weights(seen):
             raise AttemptFailed(AttemptEnd.ANSWER_MIXED, "weights changed during the answer")
 
-    def _failed(self, attempt: _Attempt, failure: AttemptFailed) -> Response:
+    def _left(self, attempt: _Attempt) -> None:
+        self.in_flight -= 1
+        self.blame.end(attempt.ticket)
+
+    def _failed(
+        self, attempt: _Attempt, failure: AttemptFailed, seen: EngineReport | None
+    ) -> Response:
         verdict = judge_attempt(failure.end)
         if verdict is Verdict.NOT_RUN:
             self.table.finish_not_run(attempt.ticket)
-        else:
-            self._settle_unknown(attempt)
-        sealed = verdict is Verdict.NOT_RUN
-        return _failure(failure.end, verdict, sealed, failure.reason)
+            return _failure(failure.end, verdict, True, failure.reason)
+        self._settle_unknown(attempt)
+        self._look_for_crash(seen)
+        crashed = self.blame.is_blamed(attempt.ticket)
+        return _failure(failure.end, verdict, False, failure.reason, crashed)
+
+    def _look_for_crash(self, seen: EngineReport | None) -> None:
+        """Blame requests when the engine that ran them is gone or has a new life."""
+        report = self.engine.read_report()
+        if seen is not None and (report is None or report.life != seen.life):
+            self.blame.died(seen.life)
 
     def _settle(self, attempt: _Attempt, answer: RecordedAnswer) -> None:
         if attempt.repeatable:
@@ -242,11 +269,14 @@
     return Response(answer.status, answer.body, answer.content_type, marks)
 
 
-def _failure(end: AttemptEnd, verdict: Verdict, sealed: bool, reason: str) -> Response:
+def _failure(
+    end: AttemptEnd, verdict: Verdict, sealed: bool, reason: str, crashed: bool = False
+) -> Response:
     status = 503 if verdict is Verdict.NOT_RUN else 502
     marks = (
         (headers.VERDICT, verdict.value),
         (headers.ATTEMPT_END, end.value),
         (headers.SEALED, "yes" if sealed else "no"),
+        (headers.CRASHED, "yes" if crashed else "no"),
     )
     return json_response(status, {"verdict": verdict.value, "error": reason}, marks)
--- a/daisystack/runtime/headers.py
+++ b/daisystack/runtime/headers.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ATTEMPT_END",
+    "CRASHED",
     "DEADLINE",
     "MODEL",
     "PREFIX",
@@ -14,6 +15,7 @@
     "SEALED",
     "SERVED_BY",
     "SERVING",
+    "SUSPECT",
     "TICKET",
     "TIMEOUT",
     "VERDICT",
@@ -36,6 +38,8 @@
 DEADLINE = "Daisystack-Time-Left-S"
 ATTEMPT_END = "Daisystack-Attempt-End"
 SEALED = "Daisystack-Sealed"
+SUSPECT = "Daisystack-Suspect"
+CRASHED = "Daisystack-Crashed"
 
 # From model engines.
 SERVING = "Engine-Serving"
--- /dev/null
+++ b/daisystack/runtime/silence_probe.py
@@ -0,0 +1,90 @@
+"""Notice connections that have gone silent while their upstream lives."""
+
+from __future__ import annotations
+
+import eventlet
+from attrs import define, field
+from eventlet import hubs
+
+from daisystack.core.idempotency import RecordState
+from daisystack.core.tickets import Ticket
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.upstream_http import AttemptFailed
+from daisystack.wire.gen import ttypes
+
+__all__ = ["SilenceProbe", "TicketState", "ask_ticket_state"]
+
+FIRST_PROBE_S = 1.0
+PROBE_GAP_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+FAILED_PROBES_ALLOWED = 2
+
+_LOST = {
+    # It never came and now never will.
+    RecordState.SEALED: (AttemptEnd.NEVER_ARRIVED, "connection lost the request"),
+    # It ran, so the answer was sent and got lost on the way.
+    RecordState.FINISHED: (AttemptEnd.NO_ANSWER, "connection lost the answer"),
+    RecordState.UNKNOWN: (AttemptEnd.NO_ANSWER, "the upstream lost the outcome"),
+}
+
+
+@define
+class TicketState:
+    """Hold what an owner says of a ticket on a new connection."""
+
+    state: RecordState
+    crashed: bool
+
+
+def ask_ticket_state(peer_address: str, ticket: Ticket) -> TicketState | None:
+    """Ask a ticket's owner, which seals it if it never came; None when it does not answer."""
+    link = PeerLink(peer_address, PROBE_TIMEOUT_S)
+    try:
+        answer = link.call("seal", ttypes.SealAsk(str(ticket)))
+        return TicketState(RecordState(answer.state), bool(answer.crashed))
+    except (PeerError, ValueError):
+        return None
+    finally:
+        link.close()
+
+
+@define(eq=False)
+class SilenceProbe:
+    """End a wait for an answer that can no longer come; used as a context around the wait."""
+
+    peer_address: str
+    ticket: Ticket
+    _waiter: object = field(init=False)
+    _thread: eventlet.greenthread.GreenThread = field(init=False)
+    _is_over: bool = False
+
+    def __enter__(self) -> SilenceProbe:
+        self._waiter = eventlet.getcurrent()
+        self._thread = eventlet.spawn_after(FIRST_PROBE_S, self._run)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._is_over = True
+        self._thread.cancel()
+
+    def _run(self) -> None:
+        failed = 0
+        while not self._is_over:
+            known = ask_ticket_state(self.peer_address, self.ticket)
+            failed = failed + 1 if known is None else 0
+            if known is not None and known.state in _LOST:
+                self._give_up(*_LOST[known.state])
+                return
+            if failed > FAILED_PROBES_ALLOWED:
+                self._give_up(AttemptEnd.NO_ANSWER, "upstream does not answer on any connection")
+                return
+            eventlet.sleep(PROBE_GAP_S)
+
+    def _give_up(self, end: AttemptEnd, reason: str) -> None:
+        hubs.get_hub().schedule_call_global(0, self._throw, AttemptFailed(end, reason))
+
+    def _throw(self, failure: AttemptFailed) -> None:
+        # The answer may have come between the decision and this call.
+        if not self._is_over:
+            self._waiter.throw(failure)
--- a/daisystack/runtime/upstreams.py
+++ b/daisystack/runtime/upstreams.py
@@ -9,11 +9,13 @@
 from attrs import define, field, frozen
 
 from daisystack.core.peers import PeerStatus
+from daisystack.core.readers import upstreams_of_entry
 from daisystack.core.register import Instance, SiteDocument
 from daisystack.core.routing import (
     InFlightCounts,
     Target,
     choose_upstream,
+    is_for,
     list_candidates,
 )
 from daisystack.core.tickets import Ticket, mint_ticket
@@ -21,24 +23,37 @@
 from daisystack.runtime.heartbeat_task import HeartbeatTask
 from daisystack.runtime.upstream_http import UpstreamHttp
 
-__all__ = ["Chosen", "Upstreams"]
+__all__ = ["Chosen", "Upstreams", "Wish"]
 
 TICKET_MARGIN_S = 30.0
 NONCE_BYTES = 8
 
 
+@frozen
+class Wish:
+    """Say what kind of upstream a request needs."""
+
+    target: Target
+    left_s: float
+    prefix: str | None = None
+    is_suspect: bool = False
+    unwanted: frozenset[str] = frozenset()
+
+
 @frozen
 class Chosen:
     """Name the upstream of an attempt and the ticket it runs under."""
 
     instance: Instance
     ticket: Ticket
+    is_suspect: bool = False
 
 
 @define(eq=False)
 class Upstreams:
-    """Choose upstreams and hold one connection pool for each."""
+    """Choose upstreams, count the requests at each, and hold a connection pool for each."""
 
+    me: str
     zone: str
     heartbeats: HeartbeatTask
     find_document: Callable[[], SiteDocument | None]
@@ -47,42 +62,63 @@
     in_flight: InFlightCounts = field(factory=InFlightCounts)
     leaving: frozenset[str] = frozenset()
     _pools: dict[str, UpstreamHttp] = field(factory=dict)
+    _members: dict[Target, list[Instance]] = field(factory=dict)
+    _suspects: set[str] = field(factory=set)
 
     @property
     def document(self) -> SiteDocument | None:
         """Return the document in force."""
         return self.find_document()
 
-    def choose(
-        self,
-        document: SiteDocument,
-        target: Target,
-        prefix: str | None,
-        tried: set[str | None],
-        left_s: float,
-    ) -> Chosen | None:
-        """Choose an upstream that was not tried, and mint a ticket for it."""
-        peers = self.heartbeats.peers
-        candidates = list_candidates(document, target, self.zone, peers, self.in_flight, now_s())
-        unwanted = tried | self.leaving
-        fresh = [c for c in candidates if c.instance.id not in unwanted]
-        candidate = choose_upstream(fresh, prefix, self.draw)
+    def begin(self, document: SiteDocument, wish: Wish) -> Chosen | None:
+        """Choose an upstream with room, mint a ticket for it and count the request there."""
+        candidates = [
+            c
+            for c in self._candidates(document, wish.target)
+            if c.instance.id not in wish.unwanted
+            and not (wish.is_suspect and c.instance.id in self._suspects)
+        ]
+        candidate = choose_upstream(candidates, wish.prefix, self.draw)
         if candidate is None:
             return None
-        ticket = self.mint(candidate.status, left_s + TICKET_MARGIN_S)
-        return Chosen(candidate.instance, ticket)
+        ticket = self._mint(candidate.status, wish.left_s + TICKET_MARGIN_S)
+        chosen = Chosen(candidate.instance, ticket, wish.is_suspect)
+        self._count(chosen)
+        return chosen
 
-    def owner(self, document: SiteDocument, ticket: Ticket) -> Chosen | None:
-        """Return the owner of a caller's ticket, the only upstream that may run it."""
+    def begin_with_owner(self, document: SiteDocument, ticket: Ticket) -> Chosen | None:
+        """Count a request at the owner of its ticket, the only upstream that may run it."""
         instance = document.instances.get(ticket.owner)
-        return Chosen(instance, ticket) if instance is not None else None
+        if instance is None:
+            return None
+        chosen = Chosen(instance, ticket)
+        self._count(chosen)
+        return chosen
+
+    def count_again(self, chosen: Chosen) -> None:
+        """Count another attempt at the same upstream."""
+        self._count(chosen)
+
+    def end(self, chosen: Chosen) -> None:
+        """Count a request that has left its upstream."""
+        self.in_flight.end(chosen.instance.id)
+        if chosen.is_suspect:
+            self._suspects.discard(chosen.instance.id)
+
+    def mint(self, document: SiteDocument, target: Target, lifetime_s: float) -> Ticket | None:
+        """Mint a ticket for a caller, bound to an upstream that is open now."""
+        candidates = self._candidates(document, target)
+        if not candidates:
+            return None
+        nearest = min(c.distance for c in candidates)
+        near = [c for c in candidates if c.distance == nearest]
+        return self._mint(self.draw.choice(near).status, lifetime_s)
 
-    def mint(self, status: PeerStatus, lifetime_s: float) -> Ticket:
-        """Mint a ticket for the life that an upstream's newest status names."""
-        nonce = secrets.token_hex(NONCE_BYTES)
-        return mint_ticket(
-            status.instance_id, status.incarnation, status.uptime_s, lifetime_s, nonce
-        )
+    def has_members(
+        self, document: SiteDocument, target: Target, unwanted: frozenset[str] = frozenset()
+    ) -> bool:
+        """Say whether any upstream is listed for a target apart from the unwanted ones."""
+        return any(i.id not in unwanted for i in self._listed(document, target))
 
     def http(self, instance: Instance) -> UpstreamHttp:
         """Return the connections to an upstream's agent."""
@@ -91,8 +127,45 @@
             self._pools[address] = UpstreamHttp(address, self.progress_timeout_s)
         return self._pools[address]
 
-    def forget_all_but(self, document: SiteDocument) -> None:
-        """Close the connections to agents that are no longer listed."""
+    def renew(self, instance: Instance) -> None:
+        """Drop the idle connections to an upstream after one of them went silent."""
+        pool = self._pools.pop(instance.http_address, None)
+        if pool is not None:
+            pool.close()
+
+    def take_document(self, document: SiteDocument) -> None:
+        """Forget what a new document no longer lists."""
+        self._members.clear()
         listed = {instance.http_address for instance in document.upstreams}
         for address in self._pools.keys() - listed:
             self._pools.pop(address).close()
+
+    def _candidates(self, document: SiteDocument, target: Target):
+        found = list_candidates(
+            document,
+            self._listed(document, target),
+            target,
+            self.zone,
+            self.heartbeats.peers,
+            self.in_flight,
+            now_s(),
+        )
+        return [c for c in found if c.instance.id not in self.leaving]
+
+    def _listed(self, document: SiteDocument, target: Target) -> list[Instance]:
+        if target not in self._members:
+            ids = upstreams_of_entry(document, self.me) if self.me in document.instances else []
+            listed = (document.instances[id] for id in dict.fromkeys(ids))
+            self._members[target] = [i for i in listed if is_for(i, target)]
+        return self._members[target]
+
+    def _count(self, chosen: Chosen) -> None:
+        self.in_flight.begin(chosen.instance.id)
+        if chosen.is_suspect:
+            self._suspects.add(chosen.instance.id)
+
+    def _mint(self, status: PeerStatus, lifetime_s: float) -> Ticket:
+        nonce = secrets.token_hex(NONCE_BYTES)
+        return mint_ticket(
+            status.instance_id, status.incarnation, status.uptime_s, lifetime_s, nonce
+        )
--- /dev/null
+++ b/daisystack/runtime/waiting_room.py
@@ -0,0 +1,126 @@
+"""Let requests wait for room at an upstream, or shed them at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+from eventlet.event import Event
+
+from daisystack.core.admission import AdmissionQueue, Waiting, WorkspaceLimits
+from daisystack.core.routing import Target
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.upstreams import Chosen
+
+__all__ = ["NotAdmitted", "WaitingRoom"]
+
+PUMP_S = 0.05
+MAX_RETRY_AFTER_S = 30.0
+
+TryBegin = Callable[[], Chosen | None]
+
+
+class NotAdmitted(Exception):
+    """Say that a request was shed or waited in vain, and when to come back."""
+
+    def __init__(self, end: AttemptEnd, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.end = end
+        self.reason = reason
+        self.retry_after_s = min(MAX_RETRY_AFTER_S, max(1.0, retry_after_s))
+
+
+@define(eq=False)
+class _Place:
+    waiting: Waiting
+    try_begin: TryBegin
+    outcome: Event = field(factory=Event)
+
+
+@define(eq=False)
+class WaitingRoom:
+    """Own one queue per target."""
+
+    max_waiting: int
+    max_wait_s: float
+    shed_count: int = 0
+    _queues: dict[Target, AdmissionQueue] = field(factory=dict)
+    _places: dict[Waiting, _Place] = field(factory=dict)
+
+    def start(self) -> None:
+        """Look after those that wait, also when nothing else happens."""
+        eventlet.spawn(self._run)
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def admit(
+        self, target: Target, limits: WorkspaceLimits, deadline_s: float, try_begin: TryBegin
+    ) -> Chosen:
+        """Return an upstream with room, waiting for it in turn; raises NotAdmitted."""
+        queue = self._queue(target)
+        if not len(queue):
+            chosen = try_begin()
+            if chosen is not None:
+                queue.charge(limits)
+                return chosen
+        at_s = now_s()
+        until_s = min(deadline_s, at_s + self.max_wait_s)
+        expected_s = queue.expected_wait_s(limits.priority, at_s)
+        if at_s + expected_s > until_s:
+            raise self._shed(f"expected wait is {expected_s:.1f} s", expected_s)
+        return self._wait(queue, _Place(Waiting(limits, until_s), try_begin))
+
+    def ended(self, target: Target) -> None:
+        """Count a finished request and let the next one in."""
+        self._queue(target).rate.ended(now_s())
+        self.pump()
+
+    def pump(self) -> None:
+        """Let in all that have room and send away all that waited too long."""
+        for queue in self._queues.values():
+            for late in list(queue.expired(now_s())):
+                end = AttemptEnd.DEADLINE_IN_QUEUE
+                late_outcome = NotAdmitted(end, "no upstream had room in time", self.max_wait_s)
+                self._settle(late, late_outcome)
+            while self._let_in_one(queue):
+                pass
+
+    def _let_in_one(self, queue: AdmissionQueue) -> bool:
+        for waiting in queue.order():
+            chosen = self._places[waiting].try_begin()
+            if chosen is not None:
+                queue.take(waiting)
+                self._settle(waiting, chosen)
+                return True
+        return False
+
+    def _wait(self, queue: AdmissionQueue, place: _Place) -> Chosen:
+        self._places[place.waiting] = place
+        shed = queue.enter(place.waiting)
+        if shed is not None:
+            self._settle(shed, self._shed("queue is full", self.max_wait_s))
+        outcome = place.outcome.wait()
+        if isinstance(outcome, NotAdmitted):
+            raise outcome
+        return outcome
+
+    def _settle(self, waiting: Waiting, outcome: Chosen | NotAdmitted) -> None:
+        self._places.pop(waiting).outcome.send(outcome)
+
+    def _shed(self, reason: str, retry_after_s: float) -> NotAdmitted:
+        self.shed_count += 1
+        return NotAdmitted(AttemptEnd.SHED, reason, retry_after_s)
+
+    def _queue(self, target: Target) -> AdmissionQueue:
+        if target not in self._queues:
+            self._queues[target] = AdmissionQueue(self.max_waiting)
+        return self._queues[target]
+
+    def _run(self) -> None:
+        while True:
+            eventlet.sleep(PUMP_S)
+            if self._places:
+                self.pump()
--- a/daisystack/tests/__init__.py
+++ b/daisystack/tests/__init__.py
@@ -11,3 +11,4 @@
 
 # Broken answers are what many tests are about.
 logging.getLogger("urllib3").setLevel(logging.ERROR)
+logging.getLogger("thrift").setLevel(logging.CRITICAL)
--- /dev/null
+++ b/daisystack/tests/test_admission.py
@@ -0,0 +1,196 @@
+import random
+import unittest
+
+import eventlet
+
+from daisystack.core.admission import OPEN_TURN, AdmissionQueue, Waiting, WorkspaceLimits
+from daisystack.core.peers import PeerTable
+from daisystack.core.retries import RetryBudget
+from daisystack.core.routing import (
+    InFlightCounts,
+    Target,
+    choose_upstream,
+    list_candidates,
+)
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.waiting_room import NotAdmitted, WaitingRoom
+from daisystack.testing import build_document, build_status
+
+HIGH = WorkspaceLimits("high", 1, 1.0)
+BIG = WorkspaceLimits("big", 0, 3.0)
+SMALL = WorkspaceLimits("small", 0, 1.0)
+
+
+def fill(queue, *workspaces):
+    return [queue.enter(Waiting(workspace, 10.0)) for workspace in workspaces]
+
+
+def drain(queue, turns):
+    names = []
+    for _ in range(turns):
+        waiting = queue.order()[0]
+        queue.take(waiting)
+        names.append(waiting.workspace.name)
+    return names
+
+
+class TestAdmissionQueue(unittest.TestCase):
+    def test_priority_first_but_nobody_starves(self):
+        queue = AdmissionQueue(100)
+        fill(queue, *[SMALL] * 20, *[HIGH] * 20)
+        names = drain(queue, OPEN_TURN * 2)
+        self.assertEqual(names.count("small"), 2)
+
+    def test_shares_decide_among_equals(self):
+        queue = AdmissionQueue(200)
+        fill(queue, *[SMALL] * 80, *[BIG] * 80)
+        names = drain(queue, 40)
+        self.assertEqual((names.count("big"), names.count("small")), (30, 10))
+
+    def test_an_idle_workspace_saves_up_no_credit(self):
+        queue = AdmissionQueue(200)
+        for _ in range(50):
+            queue.charge(SMALL)
+        fill(queue, *[SMALL] * 20)
+        fill(queue, *[WorkspaceLimits("new", 0, 1.0)] * 20)
+        self.assertEqual(drain(queue, 10).count("new"), 5)
+
+    def test_a_full_queue_sheds_the_least_entitled(self):
+        table = [
+            ([SMALL] * 3, HIGH, "small"),
+            ([HIGH] * 3, SMALL, "newcomer"),
+            ([BIG, BIG, SMALL], SMALL, "newcomer"),
+            ([SMALL, SMALL, BIG], BIG, "small"),
+        ]
+        for before, workspace, expected in table:
+            with self.subTest(expected=expected, workspace=workspace.name):
+                queue = AdmissionQueue(3)
+                fill(queue, *before)
+                newcomer = Waiting(workspace, 10.0)
+                shed = queue.enter(newcomer)
+                name = "newcomer" if shed is newcomer else shed.workspace.name
+                self.assertEqual((name, len(queue)), (expected, 3))
+
+    def test_the_expected_wait_counts_who_goes_before(self):
+        queue = AdmissionQueue(100)
+        for tick in range(50):
+            queue.rate.ended(tick * 0.1)
+        fill(queue, *[SMALL] * 19, *[HIGH] * 9)
+        self.assertAlmostEqual(queue.expected_wait_s(HIGH.priority, 5.0), 1.0, delta=0.1)
+        self.assertAlmostEqual(queue.expected_wait_s(SMALL.priority, 5.0), 2.9, delta=0.2)
+
+
+class TestWaitingRoom(unittest.TestCase):
+    def admit(self, room, chosen=None, deadline_s=1e9, limits=SMALL):
+        return room.admit(Target(pool="p"), limits, deadline_s, lambda: chosen)
+
+    def test_room_admits_at_once(self):
+        self.assertEqual(self.admit(WaitingRoom(1, 1.0), "chosen"), "chosen")
+
+    def test_a_full_room_sheds_at_once_and_says_when_to_come_back(self):
+        room = WaitingRoom(1, 60.0)
+        eventlet.spawn(self.admit, room)
+        eventlet.sleep(0)
+        with eventlet.Timeout(5), self.assertRaises(NotAdmitted) as caught:
+            self.admit(room)
+        self.assertIs(caught.exception.end, AttemptEnd.SHED)
+        self.assertGreaterEqual(caught.exception.retry_after_s, 1.0)
+
+    def test_who_waits_too_long_is_told(self):
+        room = WaitingRoom(5, 0.05)
+        room.start()
+        with eventlet.Timeout(5), self.assertRaises(NotAdmitted) as caught:
+            self.admit(room)
+        self.assertIs(caught.exception.end, AttemptEnd.DEADLINE_IN_QUEUE)
+
+    def test_a_finished_request_lets_the_next_one_in(self):
+        room, free = WaitingRoom(5, 60.0), []
+        target = Target(pool="p")
+        waiting = eventlet.spawn(
+            room.admit, target, SMALL, 1e9, lambda: free.pop() if free else None
+        )
+        eventlet.sleep(0)
+        free.append("chosen")
+        room.ended(target)
+        with eventlet.Timeout(5):
+            self.assertEqual(waiting.wait(), "chosen")
+
+
+class TestRouting(unittest.TestCase):
+    def setUp(self):
+        self.document = build_document()
+        self.members = [i for i in self.document.upstreams if i.pool == "model"]
+        self.peers, self.counts = PeerTable(), InFlightCounts()
+
+    def hear(self, instance_id, **fields):
+        self.peers.heard(build_status(instance_id, capacity=8, **fields), 0.0)
+        self.counts.reported(instance_id)
+
+    def choose(self, prefix=None, seed=1, now_s=0.0, document=None):
+        candidates = list_candidates(
+            document or self.document,
+            self.members,
+            Target(model="assistant"),
+            "mtl-1",
+            self.peers,
+            self.counts,
+            now_s,
+        )
+        chosen = choose_upstream(candidates, prefix, random.Random(seed))
+        return chosen.instance.id if chosen else None
+
+    def test_near_before_far_until_near_is_full(self):
+        for member in self.members:
+            self.hear(member.id)
+        self.assertIn(self.choose(), ("m1", "m4"))
+        for member in ("m1", "m4"):
+            self.hear(member, in_flight=8, uptime_s=101.0)
+        self.assertIn(self.choose(), ("m2", "m3", "m5", "m6"))
+
+    def test_who_is_closed_leaving_silent_or_full_is_not_chosen(self):
+        for fields in (dict(gate_open=False), dict(leaving=True), dict(in_flight=8)):
+            with self.subTest(fields=fields):
+                self.peers = PeerTable()
+                self.hear("m1", **fields)
+                self.assertIsNone(self.choose())
+        self.peers = PeerTable()
+        self.hear("m1")
+        self.assertEqual(self.choose(now_s=2.9), "m1")
+        self.assertIsNone(self.choose(now_s=3.1))
+
+    def test_a_model_stays_in_its_zones(self):
+        rules = self.document.rules
+        for member in self.members:
+            self.hear(member.id)
+        limited = type(self.document)(1, self.document.register, rules)
+        limited.__dict__["zones_by_model"] = {"assistant": frozenset({"qc-1"})}
+        self.assertIn(self.choose(document=limited), ("m2", "m5"))
+
+    def test_own_requests_count_although_the_report_lags(self):
+        self.hear("m1")
+        self.hear("m4", in_flight=3)
+        for _ in range(5):
+            self.counts.begin("m1")
+        self.assertEqual(self.choose(), "m4")
+        self.hear("m1", in_flight=5, uptime_s=101.0)
+        for _ in range(5):
+            self.counts.end("m1")
+        self.assertEqual(self.choose(), "m1")
+
+    def test_a_prefix_sticks_until_its_upstream_is_loaded(self):
+        self.hear("m1")
+        self.hear("m4")
+        home = self.choose("doc-7")
+        self.assertEqual({self.choose("doc-7", seed) for seed in range(20)}, {home})
+        for _ in range(4):
+            self.counts.begin(home)
+        self.assertNotEqual(self.choose("doc-7"), home)
+
+    def test_the_retry_budget_is_a_tenth_of_the_requests(self):
+        budget = RetryBudget(saved=0.0)
+        taken = 0
+        for _ in range(1000):
+            budget.earn()
+            taken += budget.take()
+        self.assertLessEqual(taken, 100)
+        self.assertGreater(taken, 90)
--- /dev/null
+++ b/daisystack/tests/test_silence.py
@@ -0,0 +1,73 @@
+import unittest
+
+import eventlet
+
+from daisystack.core.addresses import parse_address
+from daisystack.core.tickets import Ticket
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime import silence_probe
+from daisystack.runtime.peer_link import serve_peers
+from daisystack.runtime.silence_probe import SilenceProbe
+from daisystack.runtime.upstream_http import AttemptFailed, UpstreamHttp
+from daisystack.testing.scripted import ScriptedServer, free_address, silence
+from daisystack.wire.gen import ttypes
+
+TICKET = Ticket("s1", "1", 10**9, "n")
+GIVE_UP_S = 20.0
+
+
+class Owner:
+    def __init__(self, *states):
+        self.states = list(states)
+        self.asked = 0
+
+    def seal(self, ask):
+        self.asked += 1
+        state = self.states.pop(0) if len(self.states) > 1 else self.states[0]
+        return ttypes.SealAnswer(state, False)
+
+
+class TestSilence(unittest.TestCase):
+    def setUp(self):
+        self.saved = silence_probe.FIRST_PROBE_S, silence_probe.PROBE_GAP_S
+        silence_probe.FIRST_PROBE_S = silence_probe.PROBE_GAP_S = 0.05
+
+    def tearDown(self):
+        silence_probe.FIRST_PROBE_S, silence_probe.PROBE_GAP_S = self.saved
+
+    def wait_on_silence(self, owner):
+        server = ScriptedServer([silence()])
+        self.addCleanup(server.close)
+        address = free_address()
+        if owner is not None:
+            self.addCleanup(serve_peers(parse_address(address), owner).kill)
+        http = UpstreamHttp(server.address, 60.0)
+        with (
+            eventlet.Timeout(GIVE_UP_S * 2),
+            self.assertRaises(AttemptFailed) as caught,
+            SilenceProbe(address, TICKET),
+        ):
+            http.send("/", b"", {}, GIVE_UP_S)
+        return caught.exception
+
+    def test_the_owner_on_a_new_connection_decides(self):
+        table = [
+            (Owner("sealed"), AttemptEnd.NEVER_ARRIVED),
+            (Owner("running", "running", "finished"), AttemptEnd.NO_ANSWER),
+            (Owner("unknown"), AttemptEnd.NO_ANSWER),
+            (None, AttemptEnd.NO_ANSWER),
+        ]
+        for owner, end in table:
+            with self.subTest(end=end, owner=owner and owner.states):
+                failure = self.wait_on_silence(owner)
+                self.assertIs(failure.end, end)
+                self.assertNotIn(str(GIVE_UP_S), failure.reason)
+
+    def test_an_answer_ends_the_probe(self):
+        owner = Owner("sealed")
+        address = free_address()
+        self.addCleanup(serve_peers(parse_address(address), owner).kill)
+        with SilenceProbe(address, TICKET):
+            pass
+        eventlet.sleep(0.15)
+        self.assertEqual(owner.asked, 0)
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -668,12 +668,14 @@
     """
     Attributes:
      - state
+     - crashed
 
     """
 
 
-    def __init__(self, state=None,):
+    def __init__(self, state=None, crashed=None,):
         self.state = state
+        self.crashed = crashed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -689,6 +691,11 @@
                     self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.crashed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -703,6 +710,10 @@
             oprot.writeFieldBegin('state', TType.STRING, 1)
             oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
             oprot.writeFieldEnd()
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.BOOL, 2)
+            oprot.writeBool(self.crashed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -779,6 +790,7 @@
 SealAnswer.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'crashed', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -53,8 +53,10 @@
 }
 
 struct SealAnswer {
-  // sealed: never ran and never will; in_progress; finished; refused
+  // sealed: never ran and never will; running; finished; unknown
   1: string state
+  // The engine died while this ticket ran, and it is to blame.
+  2: bool crashed
 }
 
 service Peer {
