Choose by fresher reports, leave slow, stuck and refusing upstreams, wait 0.3 s at most

A silent runner took 8 requests per entry again and again; a vanished zone was chosen until its heartbeats were missed. With the shorter wait the stop test lost 4 of 24 streams as not_run: entries learned of an opened gate only at their next heartbeat. Change: agents put their count on each answer and tell those who follow them of a gate or a stop at once; an upstream's load is the own count plus the others' at its last report; slow ones look fuller, stuck ones get one trial at a time, refusing ones none until heard; longest wait 0.3 s; repeatable requests leave an upstream that answers nobody. The stop test now has 240 streams under way.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies and processes; each script prints the table that the docs quote."""
--- a/daisystack/cli.py
+++ b/daisystack/cli.py
@@ -11,6 +11,7 @@
 import attrs
 import typer
 
+from daisystack.core.addresses import parse_address
 from daisystack.core.settings import (
     AgentSettings,
     EntrySettings,
@@ -126,3 +127,24 @@
             print(f"{path}: valid, {len(document.register.instances)} instances")
     if refused_any:
         raise typer.Exit(EXIT_REFUSED)
+
+
+@app.command("status")
+def status(
+    entry: Annotated[str, typer.Option(envvar="DAISYSTACK_ENTRY", help="ip:port of an entry")],
+) -> None:
+    """Show every listed instance; exits 1 when one does not serve what it should."""
+    import urllib3
+
+    from daisystack.status import show_status
+
+    try:
+        wrong = show_status(str(parse_address(entry)))
+    except ValueError as error:
+        print(f"--entry: {error}", file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED) from None
+    except urllib3.exceptions.HTTPError as error:
+        print(f"{entry} does not answer: {error}", file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED) from None
+    if wrong:
+        raise typer.Exit(1)
--- a/daisystack/core/routing.py
+++ b/daisystack/core/routing.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.pace import UpstreamPace
 from daisystack.core.peers import PeerState, PeerStatus, PeerTable
 from daisystack.core.register import Instance, SiteDocument
 from daisystack.core.rendezvous import hash_unit
@@ -45,10 +46,11 @@
 
 @define
 class InFlightCounts:
-    """Count the own requests at each upstream, now and when its newest report came."""
+    """Count the own requests at each upstream, and correct its newest report by them."""
 
     _counts: dict[str, int] = field(factory=dict)
-    _at_report: dict[str, int] = field(factory=dict)
+    # What each upstream last reported beyond the own requests.
+    _others: dict[str, int] = field(factory=dict)
 
     def __getitem__(self, instance_id: str) -> int:
         return self._counts.get(instance_id, 0)
@@ -65,15 +67,13 @@
         else:
             self._counts.pop(instance_id, None)
 
-    def reported(self, instance_id: str) -> None:
-        """Remember the own count that a report already contains."""
-        self._at_report[instance_id] = self[instance_id]
+    def reported(self, instance_id: str, in_flight: int) -> None:
+        """Take a report that came with a heartbeat or an answer."""
+        self._others[instance_id] = max(0, in_flight - self[instance_id])
 
-    def estimate(self, status: PeerStatus) -> int:
-        """Estimate an upstream's requests: its report, with the own changes since."""
-        own = self[status.instance_id]
-        changed = own - self._at_report.get(status.instance_id, 0)
-        return max(own, status.in_flight + changed)
+    def estimate(self, instance_id: str) -> int:
+        """Estimate an upstream's requests: the own ones and those of others at its last report."""
+        return self[instance_id] + self._others.get(instance_id, 0)
 
 
 def list_candidates(
@@ -83,6 +83,7 @@
     zone: str,
     peers: PeerTable,
     in_flight: InFlightCounts,
+    pace: UpstreamPace,
     now_s: float,
 ) -> list[Candidate]:
     """Return the members whose gate is known to be open for the target."""
@@ -94,9 +95,10 @@
         status = peers.status(instance.id)
         if status is None or peers.state(instance.id, now_s) is PeerState.SUSPECTED:
             continue
-        if status.leaving or not status.gate_open:
+        if status.leaving or not status.gate_open or pace.is_excluded(instance.id, now_s):
             continue
-        load = in_flight.estimate(status) / (status.capacity or DEFAULT_CAPACITY)
+        load = in_flight.estimate(instance.id) / (status.capacity or DEFAULT_CAPACITY)
+        load *= pace.penalty(instance.id)
         found.append(Candidate(instance, load, _distance(document, zone, instance), status))
     return found
 
--- a/daisystack/core/settings.py
+++ b/daisystack/core/settings.py
@@ -52,7 +52,7 @@
     max_timeout_s: float = _setting("Largest timeout a request may name", 300.0)
     progress_timeout_s: float = _setting("Longest silence within an answer", 5.0)
     max_queue: int = _setting("Requests that may wait for an upstream", 256)
-    max_queue_wait_s: float = _setting("Longest wait for an upstream", 2.0)
+    max_queue_wait_s: float = _setting("Longest wait for an upstream", 0.3)
     retry_ratio: float = _setting("Retries earned by each request", 0.1)
 
 
--- a/daisystack/runtime/daemon.py
+++ b/daisystack/runtime/daemon.py
@@ -154,6 +154,7 @@
             Route("GET", "/readyz", self._readyz),
             Route("GET", "/v1/audit", self._audit_list),
             Route("GET", "/v1/status", self._status),
+            Route("GET", "/v1/document", self._document),
         ]
 
     def render_metrics(self, request: Request) -> Response:
@@ -177,6 +178,12 @@
         events = [attrs.asdict(event) | {"what": event.what.value} for event in self.trail.events()]
         return json_response(200, {"events": events})
 
+    def _document(self, request: Request, rest: str) -> Response:
+        current = self.config.keeper.current
+        if current is None:
+            return json_response(503, {"error": "no configuration is in force yet"})
+        return Response(200, current.body, headers=(("Revision", str(current.revision)),))
+
     def _status(self, request: Request, rest: str) -> Response:
         own = self.own_status(now_s())
         status = attrs.asdict(own, recurse=False)
@@ -196,7 +203,7 @@
 
     def exchange(self, mine: ttypes.Status) -> ttypes.Status:
         """Take a peer's status and return the own one."""
-        self.daemon.heartbeats.heard(status_from_wire(mine))
+        self.daemon.heartbeats.asked_by(status_from_wire(mine))
         return status_to_wire(self.daemon.own_status(now_s()))
 
     def document(self, after_revision: int) -> ttypes.Document:
--- a/daisystack/runtime/entry.py
+++ b/daisystack/runtime/entry.py
@@ -79,7 +79,7 @@
         self.upstreams.take_document(config.document)
 
     def _heard(self, status: PeerStatus) -> None:
-        self.upstreams.in_flight.reported(status.instance_id)
+        self.upstreams.heard(status)
         if status.crash_counts:
             self.requests.hold.heard(status.instance_id, status.crash_counts, now_s())
         self.requests.room.pump()
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -169,7 +169,8 @@
             sent[headers.MODEL] = caller.target.model
         http = self.upstreams.http(chosen.instance)
         peer_address = chosen.instance.peer_address
-        with SilenceProbe(peer_address, chosen.ticket, caller.repeatable):
+        is_stuck = (lambda: self.upstreams.is_stuck(chosen)) if caller.repeatable else None
+        with SilenceProbe(peer_address, chosen.ticket, is_stuck):
             answer = http.send(f"/v1/forward{caller.path}", caller.body, sent, left_s)
         return self._take(caller, chosen, answer)
 
@@ -179,6 +180,8 @@
             sealed = failure.end is AttemptEnd.NEVER_ARRIVED
             if sealed:
                 self.upstreams.renew(chosen.instance)
+            else:
+                self.upstreams.unreachable(chosen)
             return AttemptOutcome(failure.end, instance_id, sealed, reason=failure.reason)
         self.upstreams.renew(chosen.instance)
         known = ask_ticket_state(chosen.instance.peer_address, chosen.ticket)
@@ -193,14 +196,17 @@
         if answer.header(headers.TICKET) != str(chosen.ticket):
             answer.abandon()
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another ticket")
+        self.upstreams.take_report(chosen, answer.header(headers.LOAD))
         marks = answer_marks(caller.request_id, instance_id, answer)
         outcome = AttemptOutcome(AttemptEnd.ANSWERED, instance_id)
         if not answer.is_stream:
             whole = answer.read_whole(MAX_PLAIN_ANSWER_BYTES)
+            self.upstreams.answered(chosen)
             return _Attempted(outcome, Response(answer.status, whole, answer.content_type, marks))
         pieces = answer.pieces()
         # Until the first piece is here nothing has reached the caller and a retry is possible.
         first = next(pieces, b"")
+        self.upstreams.answered(chosen)
 
         def abort() -> None:
             answer.abandon()
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -199,6 +199,7 @@
             (headers.VERDICT, Verdict.RAN.value),
             (headers.SERVED_BY, self.settings.id),
             (headers.TICKET, str(attempt.ticket)),
+            (headers.LOAD, str(self.in_flight)),
         ]
         serving = answer.header(headers.SERVING)
         if serving is not None:
--- a/daisystack/runtime/headers.py
+++ b/daisystack/runtime/headers.py
@@ -6,6 +6,7 @@
     "ATTEMPT_END",
     "CRASHED",
     "DEADLINE",
+    "LOAD",
     "MODEL",
     "PREFIX",
     "REPEATABLE",
@@ -38,6 +39,7 @@
 DEADLINE = "Daisystack-Time-Left-S"
 ATTEMPT_END = "Daisystack-Attempt-End"
 SEALED = "Daisystack-Sealed"
+LOAD = "Daisystack-In-Flight"
 SUSPECT = "Daisystack-Suspect"
 CRASHED = "Daisystack-Crashed"
 
--- a/daisystack/runtime/heartbeat_task.py
+++ b/daisystack/runtime/heartbeat_task.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import eventlet
 from attrs import define, field
@@ -23,6 +23,8 @@
 HEARTBEAT_S = 1.0
 HEARTBEAT_TIMEOUT_S = 1.5
 RUMOUR_FANOUT = 4
+MAX_FOLLOWERS = 64
+FOLLOWER_LIFETIME_S = 5.0
 PAUSE_GAP_S = 2.0
 
 _logger = logging.getLogger("daisystack.heartbeats")
@@ -48,7 +50,7 @@
     peers: PeerTable = field(factory=PeerTable)
     sent_count: int = 0
     _neighbours: dict[str, _Neighbour] = field(factory=dict)
-    _extra: tuple[str, ...] = ()
+    _followers: dict[str, float] = field(factory=dict)
     _ticked_s: float = field(factory=now_s)
 
     def start(self) -> None:
@@ -63,12 +65,6 @@
         self._notice_pause()
         return self.peers.state(instance_id, now_s())
 
-    def also_watch(self, instance_ids: Iterable[str]) -> None:
-        """Add peers that are needed for a while."""
-        self._extra = tuple(instance_ids)
-        if self.config.keeper.current is not None:
-            self._set_neighbours(self.config.keeper.current.document)
-
     def heard(self, status: PeerStatus) -> None:
         """Take a status that a peer sent or answered."""
         at_s = now_s()
@@ -82,11 +78,24 @@
         for listener in self.on_heard:
             listener(status)
 
+    def asked_by(self, status: PeerStatus) -> None:
+        """Take a status from a peer that follows this process."""
+        self._followers.pop(status.instance_id, None)
+        self._followers[status.instance_id] = now_s()
+        if len(self._followers) > MAX_FOLLOWERS:
+            self._followers.pop(next(iter(self._followers)))
+        self.heard(status)
+
     def tell_all(self) -> None:
-        """Send the own status to all neighbours at once."""
+        """Send the own status to all neighbours and followers at once."""
         for neighbour in self._neighbours.values():
             if not neighbour.wake.ready():
                 neighbour.wake.send()
+        recent_s = now_s() - FOLLOWER_LIFETIME_S
+        for instance_id, asked_s in self._followers.items():
+            address = self._address_of(instance_id)
+            if address and asked_s > recent_s and instance_id not in self._neighbours:
+                eventlet.spawn(self._exchange_once, address)
 
     def _notice_pause(self) -> None:
         # Peers were not silent while this process itself stood still.
@@ -111,8 +120,7 @@
     def _set_neighbours(self, document: SiteDocument) -> None:
         wanted: dict[str, str] = {}
         if self.me in document.instances:
-            chosen = [*self.choose_neighbours(document, self.me), *self._extra]
-            for instance_id in chosen:
+            for instance_id in self.choose_neighbours(document, self.me):
                 instance = document.instances.get(instance_id)
                 if instance is not None and instance_id != self.me:
                     wanted[instance_id] = instance.peer_address
--- a/daisystack/runtime/silence_probe.py
+++ b/daisystack/runtime/silence_probe.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 from attrs import define, field
 from eventlet import hubs
@@ -56,7 +58,8 @@
 
     peer_address: str
     ticket: Ticket
-    repeatable: bool = False
+    # Given for repeatable requests: says whether the upstream has answered nobody for long.
+    is_stuck: Callable[[], bool] | None = None
     _waiter: object = field(init=False)
     _thread: eventlet.greenthread.GreenThread = field(init=False)
     _is_over: bool = False
@@ -78,7 +81,10 @@
             if known is not None and known.state in _LOST:
                 self._give_up(*_LOST[known.state])
                 return
-            if failed >= FAILED_PROBES[self.repeatable]:
+            if self.is_stuck is not None and self.is_stuck():
+                self._give_up(AttemptEnd.NO_ANSWER, "upstream answers nobody")
+                return
+            if failed >= FAILED_PROBES[self.is_stuck is not None]:
                 self._give_up(AttemptEnd.NO_ANSWER, "upstream does not answer on any connection")
                 return
             eventlet.sleep(PROBE_GAP_S)
--- a/daisystack/runtime/upstreams.py
+++ b/daisystack/runtime/upstreams.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.pace import UpstreamPace
 from daisystack.core.peers import PeerStatus
 from daisystack.core.readers import upstreams_of_entry
 from daisystack.core.register import Instance, SiteDocument
@@ -60,6 +61,7 @@
     progress_timeout_s: float
     draw: random.Random = field(factory=random.SystemRandom)
     in_flight: InFlightCounts = field(factory=InFlightCounts)
+    pace: UpstreamPace = field(factory=UpstreamPace)
     leaving: frozenset[str] = frozenset()
     _pools: dict[str, UpstreamHttp] = field(factory=dict)
     _members: dict[Target, list[Instance]] = field(factory=dict)
@@ -95,6 +97,28 @@
         self._count(chosen)
         return chosen
 
+    def unreachable(self, chosen: Chosen) -> None:
+        """Leave an upstream alone until its next heartbeat."""
+        self.pace.unreachable(chosen.instance.id)
+
+    def is_stuck(self, chosen: Chosen) -> bool:
+        """Say whether an upstream has answered nobody for too long."""
+        return self.pace.is_stuck(chosen.instance.id, now_s())
+
+    def heard(self, status: PeerStatus) -> None:
+        """Take a heartbeat."""
+        self.in_flight.reported(status.instance_id, status.in_flight)
+        self.pace.heard(status.instance_id)
+
+    def take_report(self, chosen: Chosen, text: str | None) -> None:
+        """Take the count of requests that an agent gives with an answer."""
+        if text is not None and text.isdigit():
+            self.in_flight.reported(chosen.instance.id, int(text))
+
+    def answered(self, chosen: Chosen) -> None:
+        """Record the first piece of an answer."""
+        self.pace.answered(chosen.instance.id, chosen.ticket, now_s())
+
     def count_again(self, chosen: Chosen) -> None:
         """Count another attempt at the same upstream."""
         self._count(chosen)
@@ -102,6 +126,7 @@
     def end(self, chosen: Chosen) -> None:
         """Count a request that has left its upstream."""
         self.in_flight.end(chosen.instance.id)
+        self.pace.gave_up(chosen.instance.id, chosen.ticket)
         if chosen.is_suspect:
             self._suspects.discard(chosen.instance.id)
 
@@ -136,6 +161,7 @@
     def take_document(self, document: SiteDocument) -> None:
         """Forget what a new document no longer lists."""
         self._members.clear()
+        self.pace.forget_all_but(frozenset(document.instances))
         listed = {instance.http_address for instance in document.upstreams}
         for address in self._pools.keys() - listed:
             self._pools.pop(address).close()
@@ -148,6 +174,7 @@
             self.zone,
             self.heartbeats.peers,
             self.in_flight,
+            self.pace,
             now_s(),
         )
         return [c for c in found if c.instance.id not in self.leaving]
@@ -161,6 +188,7 @@
 
     def _count(self, chosen: Chosen) -> None:
         self.in_flight.begin(chosen.instance.id)
+        self.pace.begin(chosen.instance.id, chosen.ticket, now_s())
         if chosen.is_suspect:
             self._suspects.add(chosen.instance.id)
 
--- /dev/null
+++ b/daisystack/status.py
@@ -0,0 +1,49 @@
+"""Show the state of a site as a table, read from its daemons."""
+
+from __future__ import annotations
+
+import json
+
+import urllib3
+from rich.console import Console
+from rich.table import Table
+
+from daisystack.core.register import Instance
+from daisystack.core.validation import read_document
+
+__all__ = ["show_status"]
+
+TIMEOUT_S = 2.0
+
+
+def show_status(entry_address: str) -> int:
+    """Print one line per listed instance; return how many do not serve what they should."""
+    http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+    body = http.request("GET", f"http://{entry_address}/v1/document").data
+    document = read_document(body)
+    table = Table("instance", "zone", "intended", "serves", "gate", "chunks", "state", "revision")
+    wrong = 0
+    for instance in document.register.instances:
+        status = _read(http, instance)
+        intended = ", ".join(f"{s.model}@{s.version}" for s in instance.serves) or "-"
+        if status is None:
+            wrong += 1
+            table.add_row(instance.id, instance.zone, intended, "?", "?", "?", "no answer", "?")
+            continue
+        serves = ", ".join(f"{r['model']}@{r['version']}" for r in status["serving"]) or "-"
+        wrong += serves != intended
+        chunks = f"{status['chunks_held']}/{status['chunks_wanted']}"
+        names = [name for name in ("loading", "leaving") if status[name]]
+        gate = status.get("gate", "-")
+        row = (instance.id, instance.zone, intended, serves, gate, chunks, " ".join(names) or "up")
+        table.add_row(*row, str(status["revision"]))
+    Console().print(table)
+    return wrong
+
+
+def _read(http: urllib3.PoolManager, instance: Instance) -> dict | None:
+    try:
+        answer = http.request("GET", f"http://{instance.http_address}/v1/status")
+        return json.loads(answer.data)
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return None
--- a/daisystack/tests/test_admission.py
+++ b/daisystack/tests/test_admission.py
@@ -4,6 +4,7 @@
 import eventlet
 
 from daisystack.core.admission import OPEN_TURN, AdmissionQueue, Waiting, WorkspaceLimits
+from daisystack.core.pace import UpstreamPace
 from daisystack.core.peers import PeerTable
 from daisystack.core.retries import RetryBudget
 from daisystack.core.routing import (
@@ -120,11 +121,11 @@
     def setUp(self):
         self.document = build_document()
         self.members = [i for i in self.document.upstreams if i.pool == "model"]
-        self.peers, self.counts = PeerTable(), InFlightCounts()
+        self.peers, self.counts, self.pace = PeerTable(), InFlightCounts(), UpstreamPace()
 
     def hear(self, instance_id, **fields):
         self.peers.heard(build_status(instance_id, capacity=8, **fields), 0.0)
-        self.counts.reported(instance_id)
+        self.counts.reported(instance_id, fields.get("in_flight", 0))
 
     def choose(self, prefix=None, seed=1, now_s=0.0, document=None):
         candidates = list_candidates(
@@ -134,6 +135,7 @@
             "mtl-1",
             self.peers,
             self.counts,
+            self.pace,
             now_s,
         )
         chosen = choose_upstream(candidates, prefix, random.Random(seed))
@@ -186,6 +188,31 @@
             self.counts.begin(home)
         self.assertNotEqual(self.choose("doc-7"), home)
 
+    def test_a_slow_or_stuck_upstream_gets_less(self):
+        for member in ("m1", "m2", "m3", "m4"):
+            self.hear(member)
+            self.pace.begin(member, "r", 0.0)
+            self.pace.answered(member, "r", 10.0 if member == "m1" else 0.1)
+        self.counts.begin("m1")
+        self.assertEqual({self.choose(seed=s) for s in range(9)}, {"m4"})
+        self.counts.end("m1")
+        self.pace.begin("m4", "stuck", 0.0)
+        self.counts.begin("m4")
+        self.assertEqual({self.choose(seed=s, now_s=2.5) for s in range(9)}, {"m1"})
+        self.pace.gave_up("m4", "stuck")
+        self.counts.end("m4")
+        self.assertFalse(self.pace.is_excluded("m4", 2.6))
+        self.pace.begin("m4", "trial", 2.6)
+        self.assertTrue(self.pace.is_excluded("m4", 2.6))
+        self.pace.answered("m4", "trial", 2.7)
+        self.assertFalse(self.pace.is_excluded("m4", 2.7))
+
+    def test_a_refused_connection_excludes_until_the_next_heartbeat(self):
+        self.pace.unreachable("m1")
+        self.assertTrue(self.pace.is_excluded("m1", 0.0))
+        self.pace.heard("m1")
+        self.assertFalse(self.pace.is_excluded("m1", 0.0))
+
     def test_the_retry_budget_is_a_tenth_of_the_requests(self):
         budget = RetryBudget(saved=0.0)
         taken = 0
--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -142,6 +142,7 @@
 
 class TestStops(SiteCase):
     seed = 2
+    options = {"agent_flags": ("--capacity=100",)}
 
     def streams(self, count, tokens):
         http = self.site.http
@@ -154,7 +155,7 @@
         return started
 
     def test_asking_an_agent_and_an_entry_to_stop_cuts_off_nothing(self):
-        started = self.streams(24, 100)
+        started = self.streams(240, 30)
         processes = self.site.processes
         processes.terminate("m1")
         processes.terminate("e2")
