--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -25,7 +25,7 @@
 from daisystack.standins.site import SiteShape, site_document
 from daisystack.standins.weights import make_version
 from daisystack.testing import build_status
-from daisystack.wire.convert import status_to_wire
+from daisystack.wire.convert import pack_bits, status_to_wire
 
 REGIONS = ("r1", "r2", "r3", "r4")
 VERSION = make_version("assistant", "a", 64_000, 1000, 1)
@@ -190,6 +190,12 @@
             chunks,
             lambda n: _wish_s(make_transfer(document, n)),
         ),
+        measure(
+            "transfer, packing a wish s",
+            "s/chunk",
+            chunks,
+            lambda n: spent_s(lambda: pack_bits(frozenset(range(n)), n), 20),
+        ),
     ]
 
 
--- a/daisystack/backends/config_service.py
+++ b/daisystack/backends/config_service.py
@@ -11,6 +11,8 @@
 __all__ = ["HttpConfigService"]
 
 WATCH_MARGIN_S = 2.0
+# Above what the validator allows, so that it can say how large the document is.
+MAX_DOCUMENT_READ_BYTES = 4_000_000
 
 
 @define
@@ -22,10 +24,12 @@
     def watch(self, after_revision: int, wait_s: float) -> Published | None:
         """Wait for a newer document; None when there is none; raises BackendError."""
         path = f"/v1/document?after={after_revision}&wait_s={wait_s}"
-        response = self.endpoint.call("GET", path, read_timeout_s=wait_s + WATCH_MARGIN_S)
+        response = self.endpoint.call(
+            "GET", path, None, wait_s + WATCH_MARGIN_S, MAX_DOCUMENT_READ_BYTES
+        )
         if response.status == 304:
             return None
         revision = response.headers.get("Revision", "")
         if response.status != 200 or not revision.isdigit():
             raise BackendError(f"config service: {response.status}, revision {revision!r}")
-        return Published(int(revision), response.data)
+        return Published(int(revision), response.body)
--- a/daisystack/backends/engine.py
+++ b/daisystack/backends/engine.py
@@ -50,7 +50,7 @@
             ],
         }
         response = self.endpoint.call("POST", "/orders", json.dumps(body).encode())
-        return OrderAnswer(response.status == 200, response.data.decode(errors="replace").strip())
+        return OrderAnswer(response.status == 200, response.body.decode(errors="replace").strip())
 
 
 @define
--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -5,15 +5,26 @@
 import json
 
 import urllib3
-from attrs import define, field
+from attrs import define, field, frozen
 
 from daisystack.backends.base import BackendError
 
-__all__ = ["HttpEndpoint"]
+__all__ = ["HttpAnswer", "HttpEndpoint"]
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 4
+READ_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 20 * 1024 * 1024
+
+
+@frozen
+class HttpAnswer:
+    """Hold a whole answer."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    body: bytes
 
 
 @define
@@ -35,22 +46,44 @@
         path: str,
         body: bytes | None = None,
         read_timeout_s: float = READ_TIMEOUT_S,
-    ) -> urllib3.BaseHTTPResponse:
-        """Return a whole response; raises BackendError on any failure of the connection."""
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> HttpAnswer:
+        """Return a whole answer; raises BackendError on any failure or an answer too large."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
         try:
-            return self._pool.request(method, path, body=body, timeout=timeout)
+            response = self._pool.request(
+                method, path, body=body, timeout=timeout, preload_content=False
+            )
+            got = _read_whole(response, max_bytes)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise BackendError(f"{method} {self.address}{path}: {error}") from error
+        if got is None:
+            response.close()
+            raise BackendError(f"{method} {self.address}{path}: over {max_bytes} bytes")
+        response.release_conn()
+        return HttpAnswer(response.status, response.headers, got)
 
-    def read_json(self, response: urllib3.BaseHTTPResponse) -> dict:
-        """Return a response's JSON object; raises BackendError when it is none."""
-        if response.status != 200:
-            raise BackendError(f"{self.address} answered {response.status}")
+    def read_json(self, answer: HttpAnswer) -> dict:
+        """Return an answer's JSON object; raises BackendError when it is none."""
+        if answer.status != 200:
+            raise BackendError(f"{self.address} answered {answer.status}")
         try:
-            value = json.loads(response.data)
+            value = json.loads(answer.body)
         except ValueError as error:
             raise BackendError(f"{self.address} answered no JSON: {error}") from error
         if not isinstance(value, dict):
             raise BackendError(f"{self.address} answered no JSON object")
         return value
+
+
+def _read_whole(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes | None:
+    """Return the body, or None when it is over the limit; a cut one raises only at its end."""
+    chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    if not chunked and not response.headers.get("Content-Length", "").isdigit():
+        raise urllib3.exceptions.ProtocolError("answer has no length and no chunks")
+    got = bytearray()
+    while piece := response.read(READ_BYTES):
+        got += piece
+        if len(got) > max_bytes:
+            return None
+    return bytes(got)
--- a/daisystack/backends/weight_source.py
+++ b/daisystack/backends/weight_source.py
@@ -33,7 +33,7 @@
             raise RateRefused(_retry_after_s(response.headers.get("Retry-After", "")))
         if response.status != 200:
             raise BackendError(f"{self.endpoint.address}{path}: status {response.status}")
-        return response.data
+        return response.body
 
 
 def _retry_after_s(text: str) -> float:
--- a/daisystack/core/manifests.py
+++ b/daisystack/core/manifests.py
@@ -11,6 +11,7 @@
 __all__ = [
     "ChunkFault",
     "ChunkRef",
+    "MAX_CHUNK_BYTES",
     "Manifest",
     "digest_bytes",
     "dump_manifest",
@@ -18,7 +19,8 @@
     "verify_chunk",
 ]
 
-MAX_CHUNK_BYTES = 16 * 1024 * 1024
+# A chunk travels in one frame of the peers' protocol.
+MAX_CHUNK_BYTES = 8 * 1024 * 1024
 
 _converter = make_converter(forbid_extra_keys=True)
 
--- a/daisystack/core/transfer.py
+++ b/daisystack/core/transfer.py
@@ -41,12 +41,17 @@
     missing: set[int]
     reused_bytes: int = 0
     origin_pulled: int = 0
+    _from_before: frozenset[int] = field(init=False)
     _busy: set[int] = field(factory=set)
     _feeds: dict[int, _Feed] = field(factory=dict)
     _region_progress_s: dict[str, float] = field(factory=dict)
     _avoided_until_s: dict[str, float] = field(factory=dict)
     _asked_neighbours: set[int] = field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        indexes = range(len(self.manifest.chunks))
+        self._from_before = frozenset(i for i in indexes if self.plan.comes_from_before(i))
+
     @property
     def is_complete(self) -> bool:
         """Say whether all chunks are held and verified."""
@@ -61,7 +66,8 @@
         wanted = self.missing - self._busy
         # Without progress the way round may be broken, so both sides are asked for everything.
         if now_s - self.progress_s < self.plan.takeover_s / 2:
-            wanted = {i for i in wanted if self.plan.comes_from_before(i) is before}
+            from_before = self._from_before
+            wanted = wanted & from_before if before else wanted - from_before
         return PeerWish(source, frozenset(wanted)) if wanted else None
 
     def region_wish(self, region: str, now_s: float) -> PeerWish | None:
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -26,7 +26,6 @@
     CONNECT_FAILED = "connect_failed"
     REFUSED_AT_GATE = "refused_at_gate"
     NEVER_ARRIVED = "never_arrived"
-    SEND_FAILED = "send_failed"
     NO_ANSWER = "no_answer"
     ANSWER_CUT = "answer_cut"
     ANSWER_MIXED = "answer_mixed"
--- a/daisystack/runtime/agent.py
+++ b/daisystack/runtime/agent.py
@@ -141,6 +141,14 @@
         set_gauge = self.daemon.set_gauge
         set_gauge("gate_open", "1 when requests pass", float(self.engine.gate.is_open))
         set_gauge("in_flight", "Requests at the upstream", self.forwarder.in_flight)
+        set_gauge("attempts_run", "Attempts handed to the upstream", self.forwarder.runs)
+        transfers = self.transfers.transfers.values()
+        set_gauge(
+            "chunks_held", "Chunks of intended versions", sum(t.chunks_held for t in transfers)
+        )
+        set_gauge("chunks_wanted", "All their chunks", sum(t.chunks_wanted for t in transfers))
+        pulled_bytes = sum(t.pulled_origin_bytes for t in transfers)
+        set_gauge("origin_bytes_pulled", "Bytes from store and origin", pulled_bytes)
         set_gauge("tickets", "Tickets remembered", len(self.forwarder.table))
         set_gauge("chunk_bytes_held", "Bytes of chunks", self.server.store.held_bytes)
         set_gauge("chunk_bytes_sent", "Bytes of chunks sent to peers", self.server.sent_bytes)
--- a/daisystack/runtime/chunk_server.py
+++ b/daisystack/runtime/chunk_server.py
@@ -45,7 +45,7 @@
     def serve(self, ask: ttypes.ChunkAsk) -> ttypes.Chunk:
         """Return one of the wanted chunks, waiting for it within bounds."""
         deadline_s = now_s() + min(ask.wait_ms / MS_PER_S, MAX_WAIT_S)
-        wanted = sorted(unpack_bits(ask.wanted))
+        wanted = unpack_bits(ask.wanted)
         while True:
             arrival = self._arrival
             found = self._find(ask.manifest_digest, wanted)
--- a/daisystack/runtime/entry.py
+++ b/daisystack/runtime/entry.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from daisystack.backends import BackendError, HttpEndpoint, HttpLiveList
+from daisystack.core.audit import AuditAction
 from daisystack.core.config_keeper import AcceptedConfig
 from daisystack.core.entry_addresses import list_entry_addresses
 from daisystack.core.peers import SUSPECT_AFTER_S, PeerStatus
@@ -54,7 +55,7 @@
         )
         budget = RetryBudget(ratio=settings.retry_ratio)
         room = WaitingRoom(settings.max_queue, settings.max_queue_wait_s)
-        self.requests = EntryRequests(settings, self.upstreams, budget, room)
+        self.requests = EntryRequests(settings, self.upstreams, budget, room, self._held)
         self.daemon.config.on_accepted.append(self._take_config)
         self.daemon.heartbeats.on_heard.append(self._heard)
 
@@ -83,6 +84,9 @@
             self.requests.hold.heard(status.instance_id, status.crash_counts, now_s())
         self.requests.room.pump()
 
+    def _held(self, request: str) -> None:
+        self.daemon.audit(AuditAction.REQUEST_HELD, "served", "held", request)
+
     def _fill_status(self, status: PeerStatus, at_s: float) -> PeerStatus:
         return attrs.evolve(
             status, in_flight=self.requests.in_flight, crash_counts=self.requests.hold.told(at_s)
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import logging
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 
 import eventlet
 from attrs import define, evolve, field, frozen
@@ -63,6 +63,7 @@
     upstreams: Upstreams
     budget: RetryBudget
     room: WaitingRoom
+    on_held: Callable[[str], None]
     hold: CrashHold = field(factory=CrashHold)
     in_flight: int = 0
     ended: dict[tuple[str, str], int] = field(factory=dict)
@@ -153,9 +154,15 @@
             if not streaming:
                 self._left(caller, chosen)
         if attempted.outcome.crashed:
-            self.hold.died(_fingerprint(caller), now_s())
+            self._crashed_upstream(caller)
         return attempted
 
+    def _crashed_upstream(self, caller: CallerRequest) -> None:
+        fingerprint = _fingerprint(caller)
+        deaths = self.hold.died(fingerprint, now_s())
+        if self.hold.judge(fingerprint, now_s()) is Suspicion.HELD:
+            self.on_held(f"request {fingerprint} of {caller.workspace}, {deaths} deaths")
+
     def _send(self, caller: CallerRequest, chosen: Chosen) -> _Attempted:
         left_s = caller.deadline_s - now_s()
         sent = {
@@ -232,7 +239,7 @@
         except AttemptFailed as failure:
             end = failure.end
             if self._failed(chosen, failure).crashed:
-                self.hold.died(_fingerprint(caller), now_s())
+                self._crashed_upstream(caller)
             yield error_event(Verdict.MAY_HAVE_RUN, failure.reason)
             # The missing last chunk tells the caller that the answer is not whole.
             raise
--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -227,6 +227,7 @@
         self.assertEqual([a.status for a in answers[1:]], [409, 409, 409])
         verdicts = {a.headers["Daisystack-Verdict"] for a in answers}
         self.assertEqual(verdicts, {"may_have_run"})
+        self.assertTrue(any(self.audit(a, "request_held") for a in self.addresses))
         whole = send_stream(self.site.http, self.addresses[0], 2)
         self.assertTrue(whole.is_whole)
 
--- a/daisystack/wire/convert.py
+++ b/daisystack/wire/convert.py
@@ -6,6 +6,8 @@
 from daisystack.core.register import ModelRef
 from daisystack.wire.gen import ttypes
 
+_ONE = ord("1")
+
 __all__ = ["pack_bits", "status_from_wire", "status_to_wire", "unpack_bits"]
 
 
@@ -53,21 +55,18 @@
 
 def pack_bits(wanted: frozenset[int], size: int) -> bytes:
     """Pack chunk indexes into one bit each, most significant bit first."""
-    bits = bytearray((size + 7) // 8)
+    size_bytes = (size + 7) // 8
+    digits = bytearray(b"0") * (size_bytes * 8)
     for index in wanted:
-        bits[index // 8] |= 0x80 >> (index % 8)
-    return bytes(bits)
+        digits[index] = _ONE
+    # Reading binary digits is much faster than setting bits one by one.
+    return int(digits or b"0", 2).to_bytes(size_bytes, "big")
 
 
-def unpack_bits(bits: bytes) -> set[int]:
-    """Return the indexes of the set bits."""
-    return {
-        place * 8 + bit
-        for place, byte in enumerate(bits)
-        if byte
-        for bit in range(8)
-        if byte & (0x80 >> bit)
-    }
+def unpack_bits(bits: bytes) -> list[int]:
+    """Return the indexes of the set bits in order."""
+    digits = f"{int.from_bytes(bits, 'big'):0{len(bits) * 8}b}"
+    return [index for index, digit in enumerate(digits) if digit == "1"]
 
 
 def _ref_fields(ref: ModelRef) -> tuple[str, str, str]:
