Silence open connections by a relay, in the demo and in a test

Change: a relay in tools/ that loses track of all open connections while new ones work; the demo's faults and a process test silence upstreams three times under posts and streams. Test: 0 unknown outcomes, all upstreams in use afterwards. Conclusion: silent connections are replaced between real processes too.

--- a/daisystack/standins/site.py
+++ b/daisystack/standins/site.py
@@ -31,6 +31,8 @@
     max_loading: int = 2
     checks_fencing: bool = True
     takeover_s: float = 2.0
+    # Agents that entries reach only through a relay.
+    relayed: tuple[int, ...] = ()
     workspaces: tuple[str, ...] = field(default=("underwriting", "servicing", "dealers"))
 
     def address(self, offset: int) -> str:
@@ -45,6 +47,10 @@
         """Return an agent's HTTP and peer addresses and its engine's."""
         return self.address(200 + index), self.address(400 + index), self.address(600 + index)
 
+    def relay_address(self, index: int) -> str:
+        """Return the address at which a relay may stand before an agent's HTTP address."""
+        return self.address(800 + index)
+
     def zone_of(self, index: int) -> str:
         """Return the zone of the n-th instance of a kind."""
         return self.regions[index % len(self.regions)] + "-1"
@@ -111,6 +117,8 @@
         found.append(_instance(f"e{index + 1}", "entry", shape.zone_of(index), http, peer))
     for index in range(shape.agents + shape.ledgers):
         http, peer, _ = shape.agent_addresses(index)
+        if index in shape.relayed:
+            http = shape.relay_address(index)
         if index < shape.agents:
             line = _instance(f"m{index + 1}", "upstream", shape.zone_of(index), http, peer)
             line |= {"pool": "model", "serves": [{"model": model, "version": serve}]}
--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -212,6 +212,31 @@
         self.wait(lambda: site.get(old, "/v1/status")["gate"] == "superseded")
 
 
+class TestSilentConnections(SiteCase):
+    seed = 6
+    shape = {"relayed": (0, 1, 2, 3, 4)}
+
+    def test_silent_connections_are_replaced_and_nothing_runs_twice(self):
+        callers = Callers(self.addresses, streams=4, posters=4, tokens=5, pause_s=0.0)
+        callers.start()
+        lost = 0
+        for _ in range(3):
+            time.sleep(1.0)
+            lost += sum(relay.silence() for relay in self.site.relays.values())
+        time.sleep(4.0)
+        callers.stop()
+        runs, posts, tally = self.runs(), callers.posts, callers.tally
+        self.assertGreater(lost, 0)
+        self.assertEqual([a for a, count in runs.items() if count > 1 and a != "probe"], [])
+        self.assertEqual([a for a, v in posts.items() if v == "not_run" and a in runs], [])
+        self.assertEqual([a for a, v in posts.items() if v == "may_have_run"], [])
+        self.assertEqual((tally.mixed, tally.foreign), (0, 0))
+        # The upstreams were never the cause, so all of them stay in use.
+        for address in self.addresses:
+            self.assertTrue(send_stream(self.site.http, address, 2).is_whole)
+            self.assertEqual(self.post(address, {"id": "after"}).status, 200)
+
+
 class TestCrashes(SiteCase):
     seed = 4
 
--- a/daisystack/tests/test_validation.py
+++ b/daisystack/tests/test_validation.py
@@ -1,6 +1,11 @@
 import json
+import tempfile
 import unittest
+from pathlib import Path
 
+from typer.testing import CliRunner
+
+from daisystack.cli import app
 from daisystack.core.validation import DocumentRefused, read_document
 from daisystack.testing import build_raw_document
 
@@ -64,6 +69,18 @@
         document["register"]["zones"].append({"name": "empty-1", "region": "mtl"})
         self.assertEqual(len(faults_of(json.dumps(document).encode())), 5)
 
+    def test_the_command_lists_all_faults_of_all_files_and_exits_2(self):
+        with tempfile.TemporaryDirectory() as folder:
+            good, bad = Path(folder, "good.json"), Path(folder, "bad.json")
+            good.write_text(json.dumps(build_raw_document()))
+            bad.write_bytes(edit(("format",), 2))
+            result = CliRunner().invoke(app, ["check", str(good)])
+            self.assertEqual((result.exit_code, "valid" in result.stdout), (0, True))
+            result = CliRunner().invoke(app, ["check", str(good), str(bad), folder + "/none"])
+            self.assertEqual(result.exit_code, 2)
+            for said in ("1 faults", "$.format: got 2", "No such file"):
+                self.assertIn(said, result.stderr)
+
     def test_what_is_no_document_is_refused(self):
         oversize = json.dumps(build_raw_document()).encode() + b" " * 1_000_000
         nested, infinite = b"[" * 100_000, b'{"format": Infinity}'
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,6 +23,9 @@
 REGIONS = ("mtl", "qc", "sag", "gat")
 POLL_S = 0.05
 SETTLE_S = 1.0
+# With faults these upstreams stand behind relays that lose track of connections.
+RELAYED_MODEL = 3
+RELAYED_LEDGER = 1
 
 
 @define
@@ -39,6 +42,8 @@
 
     def copies(self, count_bytes: int) -> str:
         """Return bytes as copies of the weights."""
+        if count_bytes < 0:
+            return "not known, its agent was replaced"
         return f"{count_bytes / self.size_bytes:.2f}"
 
 
@@ -169,6 +174,7 @@
         agents,
         instance_bytes_per_s=instance_bytes_per_s,
         region_pair_bytes_per_s=pair_bytes_per_s,
+        relayed=(RELAYED_MODEL, agents + RELAYED_LEDGER) if faults else (),
     )
     options = SiteOptions(
         shape, size_bytes, chunk_bytes, origin_bytes_per_s, seed, shared_part=shared_part
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -17,7 +17,7 @@
 
 @define(eq=False)
 class FaultScript:
-    """Kill an agent, freeze an entry, kill a ledger's agent, show old configuration."""
+    """Kill agents, freeze an entry and an agent, silence connections, show old configuration."""
 
     site: Site
     _thread: threading.Thread = field(init=False)
@@ -40,6 +40,7 @@
         processes.kill("m2")
         processes.kill("s1")
         processes.freeze("e2")
+        self._silence()
         self._say("config service shows revision 1 again")
         self.site.control(address, shown_revision=1)
         time.sleep(FREEZE_S)
@@ -48,11 +49,16 @@
         self.site.start_agent(1)
         self.site.start_agent(self.site.shape.agents)
         time.sleep(FREEZE_S)
+        self._silence()
         self._say("agent m3 frozen and woken")
         processes.freeze("m3")
         time.sleep(FREEZE_S)
         processes.thaw("m3")
         self.site.control(address, shown_revision=None)
 
+    def _silence(self) -> None:
+        lost = sum(relay.silence() for relay in self.site.relays.values())
+        self._say(f"{lost} open connections to m4 and s2 went silent")
+
     def _say(self, text: str) -> None:
         print(f"  fault: {text}", flush=True)
--- a/tools/site.py
+++ b/tools/site.py
@@ -9,6 +9,7 @@
 import urllib3
 from attrs import define, evolve, field
 
+from daisystack.core.addresses import parse_address
 from daisystack.standins.site import (
     CONFIG,
     LIVE_LIST,
@@ -21,6 +22,7 @@
 )
 from daisystack.standins.weights import MadeVersion
 from tools.processes import Processes
+from tools.relay import Relay
 
 __all__ = ["Site", "SiteOptions"]
 
@@ -52,6 +54,7 @@
     options: SiteOptions
     processes: Processes
     versions: list[MadeVersion] = field(init=False)
+    relays: dict[int, Relay] = field(factory=dict)
     http: urllib3.PoolManager = field(
         factory=lambda: urllib3.PoolManager(retries=False, maxsize=64, timeout=5.0)
     )
@@ -106,8 +109,16 @@
             name = f"service-s{index - self.shape.agents + 1}"
             self.processes.start(name, "standins", "service", f"--address={address}")
 
+    def start_relays(self) -> None:
+        """Put a relay before each agent that has one."""
+        for index in self.shape.relayed:
+            listen = parse_address(self.shape.relay_address(index))
+            target = parse_address(self.shape.agent_addresses(index)[0])
+            self.relays[index] = Relay(listen, target)
+
     def start_daemons(self) -> None:
-        """Start all entries and agents."""
+        """Start all entries and agents, and the relays before them."""
+        self.start_relays()
         for index in range(self.shape.entries):
             self.start_entry(index)
         for index in range(self.shape.agents + self.shape.ledgers):
