Believe a replacement with a clock behind, keep tasks alive, refuse an attempt as an attempt

Cause: read as a newcomer, three faults stood in the code. Lives of an instance are ordered by wall clocks, so a replacement on a machine whose clock is behind was taken for an old life for ever. An exception in one step or listener ended its task without a word. A ticket for an ended life was refused as may_have_run, although the attempt had certainly not run, so for up to a heartbeat after each restart a request without a ticket ended unknown instead of going elsewhere. Ruled out: comparing uptimes (a long-lived twin would win); calling a caller's old ticket not run (another entry may have sent it to the life before). Broken HTTP in a table over raw sockets: its log lines were not key=value pairs and are now.

--- a/daisystack/core/idempotency.py
+++ b/daisystack/core/idempotency.py
@@ -56,7 +56,7 @@
 
 @frozen
 class BeginRefused:
-    """Refuse to run; sealed says that the ticket never ran and never will."""
+    """Refuse to run; the verdict speaks of this attempt, and of the whole ticket if sealed."""
 
     verdict: Verdict
     sealed: bool
@@ -112,17 +112,17 @@
             return self._begin_again(record, body_digest)
         fault = self._fault(ticket, uptime_s)
         if fault is not None:
-            return BeginRefused(Verdict.MAY_HAVE_RUN, False, fault)
+            return BeginRefused(Verdict.NOT_RUN, False, fault)
         if len(self._records) >= self.max_records * (1 - self.seal_room):
             return self.refuse(ticket, "idempotency table full", uptime_s)
         self._add(ticket, _Record(RecordState.RUNNING, body_digest))
         return Run(ticket)
 
     def refuse(self, ticket: Ticket, reason: str, uptime_s: float) -> BeginRefused:
-        """Refuse a ticket for good if it never ran; the verdict says whether that holds."""
+        """Refuse an attempt, and seal its ticket if that never ran and there is room."""
         outcome = self.seal(ticket, uptime_s)
-        if outcome.sealed:
-            return BeginRefused(Verdict.NOT_RUN, True, reason)
+        if outcome.sealed or ticket not in self._records:
+            return BeginRefused(Verdict.NOT_RUN, outcome.sealed, reason)
         verdict = Verdict.RAN if outcome.state is RecordState.FINISHED else Verdict.MAY_HAVE_RUN
         return BeginRefused(verdict, False, reason)
 
--- a/daisystack/core/peers.py
+++ b/daisystack/core/peers.py
@@ -62,17 +62,21 @@
             seen.first_asked_s = now_s
 
     def heard(self, status: PeerStatus, now_s: float) -> None:
-        """Record a heartbeat; a late one of an older life does not replace a newer one."""
+        """Record a heartbeat unless it is a late one that a newer one has overtaken."""
         seen = self._seen.setdefault(status.instance_id, _Seen())
-        if seen.status is not None and status.incarnation == seen.status.incarnation:
-            if status.uptime_s < seen.status.uptime_s:
-                return
-        elif seen.status is not None and status.incarnation < seen.status.incarnation:
+        if seen.status is not None and self._is_overtaken(status, seen, now_s):
             return
         seen.status = status
         seen.heard_s = now_s
         seen.first_asked_s = None
 
+    def _is_overtaken(self, status: PeerStatus, seen: _Seen, now_s: float) -> bool:
+        if status.incarnation == seen.status.incarnation:
+            return status.uptime_s < seen.status.uptime_s
+        # Lives are ordered by wall clocks, which may lie; a silent life gives way to any other.
+        is_silent = now_s - seen.heard_s > self.suspect_after_s
+        return status.incarnation < seen.status.incarnation and not is_silent
+
     def paused(self, gap_s: float) -> None:
         """Shift all times by the length of an own pause, in which nothing could be heard."""
         for seen in self._seen.values():
--- a/daisystack/runtime/config_task.py
+++ b/daisystack/runtime/config_task.py
@@ -27,6 +27,7 @@
 from daisystack.runtime.events import PeerPullFailed, ServiceReadFailed
 from daisystack.runtime.logs import log_event, record_audit
 from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.tasks import attempt, run_steps
 
 __all__ = ["ConfigTask", "DocumentShown", "PeerAsked", "RevisionSeen"]
 
@@ -88,8 +89,8 @@
 
     def start(self) -> None:
         """Start the task and its watch of the service."""
-        eventlet.spawn(self._run)
-        eventlet.spawn(self._watch)
+        eventlet.spawn(run_steps, "config", self._take_next)
+        eventlet.spawn(run_steps, "config watch", self._watch)
 
     def service_age_s(self, at_s: float) -> float:
         """Return the time since any process was known to reach the service."""
@@ -110,14 +111,13 @@
         if self.service_contact_s is None or contact_s > self.service_contact_s:
             self.service_contact_s = contact_s
 
-    def _run(self) -> None:
-        while True:
-            with contextlib.suppress(Empty):
-                self._take(self.inbox.get(timeout=TICK_S))
-            if self.bootstrap.is_over(now_s()):
-                held = self.bootstrap.release()
-                if held is not None:
-                    self._offer(held, "start")
+    def _take_next(self) -> None:
+        with contextlib.suppress(Empty):
+            self._take(self.inbox.get(timeout=TICK_S))
+        if self.bootstrap.is_over(now_s()):
+            held = self.bootstrap.release()
+            if held is not None:
+                self._offer(held, "start")
 
     @singledispatchmethod
     def _take(self, message: Message) -> None:
@@ -178,7 +178,7 @@
         self._audit(AuditAction.CONFIG_ACCEPTED, before, after, f"from {outcome.source}")
         self.confirmed_s = outcome.config.accepted_s
         for listener in self.on_accepted:
-            listener(outcome.config)
+            attempt("config listener", listener, outcome.config)
 
     @_settle.register
     def _(self, outcome: ConfigRefused) -> None:
--- a/daisystack/runtime/engine_task.py
+++ b/daisystack/runtime/engine_task.py
@@ -22,6 +22,7 @@
 from daisystack.core.register import ModelRef
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.daemon import Daemon
+from daisystack.runtime.tasks import run_steps
 from daisystack.runtime.transfer_task import TransferTask
 
 __all__ = ["EngineTask"]
@@ -52,7 +53,7 @@
 
     def start(self) -> None:
         """Start watching the engine."""
-        eventlet.spawn(self._run)
+        eventlet.spawn(run_steps, "engine", self._tick)
 
     @property
     def is_loading(self) -> bool:
@@ -97,19 +98,18 @@
         instance = document.instances.get(settings.id) if document else None
         return instance is not None and instance.peer_address != settings.peer_address
 
-    def _run(self) -> None:
-        while True:
-            at_s = now_s()
-            if at_s - self._ticked_s > PAUSE_GAP_S:
-                self._paused_s = at_s
-            self._ticked_s = at_s
-            self.read_report()
-            self.transfers.keep_in_use(self._serving())
-            self._step()
-            self.refresh_gate()
-            eventlet.sleep(TICK_S)
-
-    def _step(self) -> None:
+    def _tick(self) -> None:
+        at_s = now_s()
+        if at_s - self._ticked_s > PAUSE_GAP_S:
+            self._paused_s = at_s
+        self._ticked_s = at_s
+        self.read_report()
+        self.transfers.keep_in_use(self._serving())
+        self._approach_intent()
+        self.refresh_gate()
+        eventlet.sleep(TICK_S)
+
+    def _approach_intent(self) -> None:
         decision = decide_order(self._inputs(), now_s())
         if isinstance(decision, Idle):
             self._stop_draining()
--- a/daisystack/runtime/heartbeat_task.py
+++ b/daisystack/runtime/heartbeat_task.py
@@ -16,6 +16,7 @@
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.config_task import ConfigTask, PeerAsked, RevisionSeen
 from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.tasks import attempt, run_steps
 from daisystack.wire.convert import status_from_wire, status_to_wire
 
 __all__ = ["HeartbeatTask"]
@@ -59,7 +60,7 @@
         self.config.on_accepted.append(self._take_config)
         for seed in self.seeds:
             eventlet.spawn(self._ask_seed, seed)
-        eventlet.spawn(self._meet_random)
+        eventlet.spawn(run_steps, "random meetings", self._meet_random)
 
     def state(self, instance_id: str) -> PeerState:
         """Judge a peer now."""
@@ -77,7 +78,7 @@
             if address is not None:
                 self.config.inbox.put(RevisionSeen(address, status.revision))
         for listener in self.on_heard:
-            listener(status)
+            attempt("heartbeat listener", listener, status)
 
     def asked_by(self, status: PeerStatus) -> None:
         """Take a status from a peer that follows this process."""
@@ -146,7 +147,7 @@
         while neighbour.is_wanted:
             self._notice_pause()
             self.peers.asked(instance_id, now_s())
-            self._exchange(link)
+            attempt("heartbeat", self._exchange, link)
             with eventlet.Timeout(HEARTBEAT_S * random.uniform(0.9, 1.1), False):
                 neighbour.wake.wait()
             if neighbour.wake.ready():
@@ -176,12 +177,11 @@
         self.config.inbox.put(PeerAsked(seed, revision))
 
     def _meet_random(self) -> None:
-        while True:
-            eventlet.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
-            self._notice_pause()
-            address = self._random_address()
-            if address is not None:
-                eventlet.spawn(self._meet, address)
+        eventlet.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
+        self._notice_pause()
+        address = self._random_address()
+        if address is not None:
+            eventlet.spawn(self._meet, address)
 
     def _meet(self, address: str) -> None:
         status = self._exchange_once(address)
--- a/daisystack/runtime/web.py
+++ b/daisystack/runtime/web.py
@@ -28,6 +28,7 @@
 
 MAX_CONNECTIONS = 4096
 IDLE_TIMEOUT_S = 75.0
+MAX_LOGGED_CHARS = 200
 STATUS_TEXT = {
     200: "OK",
     201: "Created",
@@ -179,6 +180,13 @@
     return f"{status} {STATUS_TEXT.get(status, 'Status')}"
 
 
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    def log_message(self, format: str, *arguments: object) -> None:
+        """Log what the library says of a broken request as an event of ours."""
+        logger = logging.getLogger("daisystack.wsgi")
+        logger.info("http_refused", extra={"reason": (format % arguments)[:MAX_LOGGED_CHARS]})
+
+
 def serve_http(address: Address, routes: Iterable[Route]) -> eventlet.greenthread.GreenThread:
     """Listen on an address and serve the routes; raises OSError when it can't be bound."""
     listener = eventlet.listen((address.host, address.port), backlog=1024)
@@ -192,6 +200,7 @@
         log_output=False,
         debug=False,
         max_size=MAX_CONNECTIONS,
+        protocol=_Protocol,
         # A connection that sends nothing, or half a request, is closed.
         socket_timeout=IDLE_TIMEOUT_S,
     )
--- a/daisystack/tests/test_entry_verdicts.py
+++ b/daisystack/tests/test_entry_verdicts.py
@@ -163,9 +163,24 @@
         self.addCleanup(server.close)
         entry = make_entry(server.address)
         self.assertEqual(header(post(entry, ticket=ticket), "Daisystack-Verdict"), "not_run")
+        unsealed = REFUSED.replace(b"Sealed: yes", b"Sealed: no")
+        server = ScriptedServer([cut(unsealed)])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address)
+        self.assertEqual(header(post(entry, ticket=ticket), "Daisystack-Verdict"), "may_have_run")
+        self.assertEqual(header(post(entry), "Daisystack-Verdict"), "not_run")
         gone = "s9.1.200000.abc"
         self.assertEqual(header(post(entry, ticket=gone), "Daisystack-Verdict"), "may_have_run")
 
+    def test_an_upstream_that_the_live_list_calls_leaving_gets_no_new_work(self):
+        server = ScriptedServer([echo(b"done")])
+        self.addCleanup(server.close)
+        entry = make_entry(server.address)
+        self.assertEqual(post(entry).status, 200)
+        entry.upstreams.leaving = frozenset({"s1"})
+        self.assertEqual(header(post(entry), "Daisystack-Verdict"), "not_run")
+        self.assertEqual(server.connections, 1)
+
     def test_a_stream_cut_midway_ends_in_an_error_event_and_no_last_chunk(self):
         server = ScriptedServer([begin_stream])
         self.addCleanup(server.close)
