Remember late fetchers, so that a dead one costs seconds and not minutes

The next in rank waited takeover_s without progress, brought one chunk, and that chunk's arrival began the wait anew: 16 chunks x 2 s. Ruled out: the lanes (dead members are passed over after 3 s); the origin (its budget had room, 1.36 copies). Change: when nothing came for takeover_s, those whose turn it is count as late for 30 s and the next ranks bring all their chunks at once. Each silence moves on by one rank only, so wrong suspicions stay few. benchmarks/rollout_faults.py.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(BIN)/python -m benchmarks.config_spread
 	$(BIN)/python -m benchmarks.entry_load
 	$(BIN)/python -m benchmarks.live_first
+	$(BIN)/python -m benchmarks.rollout_faults
 
 clean:
 	rm -rf build .venv
--- /dev/null
+++ b/benchmarks/rollout_faults.py
@@ -0,0 +1,129 @@
+"""Roll a version out under faults and compare time and origin bytes with the fault-free run."""
+
+from __future__ import annotations
+
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from attrs import frozen
+
+from daisystack.standins.site import STORE, SiteShape
+from tools.demo import source_bytes
+from tools.load import Callers
+from tools.processes import Processes
+from tools.site import Site, SiteOptions
+
+FAULT_AT_S = 0.8
+FREEZE_S = 6.0
+PATIENCE_S = 90.0
+FIRST_PORT = 20_000
+
+
+@frozen
+class Case:
+    """Name a fault and what brings it about; dead upstreams need not serve in the end."""
+
+    name: str
+    act: Callable[[Site], None]
+    dead: tuple[int, ...] = ()
+    version: str = "b"
+
+
+def store(site: Site, **faults: object) -> None:
+    """Set faults of the store."""
+    site.control(site.shape.address(STORE), **faults)
+
+
+def freeze(name: str) -> Callable[[Site], None]:
+    """Return a fault that stops a process for a while."""
+
+    def act(site: Site) -> None:
+        site.processes.freeze(name)
+        time.sleep(FREEZE_S)
+        site.processes.thaw(name)
+
+    return act
+
+
+def restart(site: Site) -> None:
+    """Replace an agent with one that holds nothing."""
+    site.processes.kill("m1")
+    site.start_agent(0)
+
+
+def two_faults(site: Site) -> None:
+    """Take the store away and kill a fetcher."""
+    store(site, is_down=True)
+    site.processes.kill("m2")
+
+
+CASES = (
+    Case("none", lambda site: None),
+    Case("fetcher in the origin's region killed", lambda site: site.processes.kill("m1"), (0,)),
+    Case("fetcher in a far region killed", lambda site: site.processes.kill("m2"), (1,)),
+    Case(f"fetcher frozen for {FREEZE_S:.0f} s", freeze("m1")),
+    Case("fetcher restarted with nothing", restart),
+    Case("store down, origin up", lambda site: store(site, is_down=True)),
+    Case("three chunks corrupted, two cut", lambda s: store(s, corrupt_next=3, truncate_next=2)),
+    Case("replaced in flight by c", lambda site: site.publish("c"), version="c"),
+    Case("rolled back in flight to a", lambda site: site.publish("a"), version="a"),
+    Case("store down and a far fetcher killed", two_faults, (1,)),
+)
+
+
+def run(case: Case, base_port: int) -> tuple[float, float, Callers]:
+    """Return the time until all that live serve the version, origin copies, and the callers."""
+    shape = SiteShape("127.0.0.1", base_port, ledgers=0)
+    log_dir = Path(tempfile.mkdtemp(prefix="daisystack-bench-"))
+    site = Site(SiteOptions(shape), Processes(log_dir))
+    try:
+        site.start_platform()
+        site.wait_for("platform", lambda: site.get(shape.address(0), "/counters"))
+        site.publish("a")
+        site.start_daemons()
+        site.wait_for("all serve a", lambda: site.serving("a") == shape.agents, PATIENCE_S)
+        time.sleep(1.0)
+        callers = Callers([shape.entry_addresses(i)[0] for i in range(shape.entries)], posters=0)
+        callers.start()
+        before = source_bytes(site)
+        begun_s = time.monotonic()
+        site.publish("b")
+        time.sleep(FAULT_AT_S)
+        fault = threading.Thread(target=case.act, args=(site,))
+        fault.start()
+        fault.join(0.5)
+        alive = shape.agents - len(case.dead)
+        site.wait_for(case.name, lambda: site.serving(case.version) == alive, PATIENCE_S)
+        took_s = time.monotonic() - begun_s
+        fault.join()
+        callers.stop()
+        copies = (source_bytes(site) - before) / site.versions[0].size_bytes
+        return took_s, copies, callers
+    finally:
+        site.processes.end_all()
+
+
+def main() -> None:
+    """Print one line per case."""
+    print(
+        "| fault after 0.8 s | all that live serve it after, s | over fault-free "
+        "| origin copies | streams sent / whole / mixed |"
+    )
+    print("|---|---|---|---|---|")
+    usual_s = 0.0
+    for place, case in enumerate(CASES):
+        took_s, copies, callers = run(case, FIRST_PORT + 1000 * place)
+        usual_s = usual_s or took_s
+        tally = callers.tally
+        print(
+            f"| {case.name} | {took_s:.1f} | {took_s / usual_s:.2f} | {copies:.2f} "
+            f"| {tally.sent} / {tally.whole} / {tally.mixed} |",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/daisystack/core/distribution.py
+++ b/daisystack/core/distribution.py
@@ -65,11 +65,6 @@
         others = [member for member in ring if member != first]
         return [first, *rank_members(f"{self.ref.manifest_digest}/{chunk_index}", others)]
 
-    def takeover_delay_s(self, chunk_index: int) -> float:
-        """Return how long without progress until this instance fetches a chunk itself."""
-        rank = self.fetchers(chunk_index, self.region).index(self.me)
-        return rank * self.takeover_s
-
     def feeding_regions(self, chunk_index: int) -> list[str | None]:
         """Rank the regions to ask for a chunk; None is the origin, the last resort of far ones."""
         parent = self.trees.parent(chunk_index, self.region)
--- a/daisystack/core/transfer.py
+++ b/daisystack/core/transfer.py
@@ -11,7 +11,7 @@
 
 AVOID_FAILED_S = 3.0
 AVOID_CORRUPT_S = 600.0
-MAX_TAKEOVERS_CHECKED = 64
+LATE_S = 30.0
 
 
 @frozen
@@ -47,6 +47,9 @@
     _region_progress_s: dict[str, float] = field(factory=dict)
     _avoided_until_s: dict[str, float] = field(factory=dict)
     _asked_neighbours: set[int] = field(factory=set)
+    _late_until_s: dict[str, float] = field(factory=dict)
+    _ranks: dict[int, list[str]] = field(factory=dict)
+    _judged_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         indexes = range(len(self.manifest.chunks))
@@ -122,14 +125,34 @@
 
     def _to_bring_in(self, now_s: float) -> list[int]:
         """Return the chunks this instance should bring into its region now."""
-        size = len(self.plan.ring)
-        place = self.plan.place
-        designated = sorted(i for i in self.missing if i % size == place)
-        stalled_s = now_s - self.progress_s
-        if stalled_s < self.plan.takeover_s:
+        self._notice_late_fetchers(now_s)
+        return [i for i in sorted(self.missing) if self._fetcher(i, now_s) == self.plan.me]
+
+    def _fetcher(self, index: int, now_s: float) -> str:
+        """Return the first fetcher of a chunk that is not late."""
+        designated = self.plan.ring[index % len(self.plan.ring)]
+        if not self._is_late(designated, now_s):
             return designated
-        others = sorted(i for i in self.missing if i % size != place)[:MAX_TAKEOVERS_CHECKED]
-        return designated + [i for i in others if stalled_s >= self.plan.takeover_delay_s(i)]
+        if index not in self._ranks:
+            self._ranks[index] = self.plan.fetchers(index, self.plan.region)
+        ranked = self._ranks[index]
+        return next((m for m in ranked if not self._is_late(m, now_s)), self.plan.me)
+
+    def _notice_late_fetchers(self, now_s: float) -> None:
+        """Take those for late whose turn it is when nothing has come for too long.
+
+        They stay late for a while, so that the next in rank brings all their chunks at once instead
+        of waiting anew for each.
+        """
+        if now_s - max(self.progress_s, self._judged_s) < self.plan.takeover_s:
+            return
+        self._judged_s = now_s
+        awaited = {self._fetcher(index, now_s) for index in self.missing} - {self.plan.me}
+        for member in awaited:
+            self._late_until_s[member] = now_s + LATE_S
+
+    def _is_late(self, member: str, now_s: float) -> bool:
+        return self._late_until_s.get(member, 0.0) > now_s
 
     def _region(self, index: int, now_s: float) -> str | None:
         """Return the region to ask for a chunk, the next one when that region brings nothing."""
--- a/daisystack/tests/test_transfer.py
+++ b/daisystack/tests/test_transfer.py
@@ -120,6 +120,18 @@
         self.assertIsNone(state.origin_wish(2.9))
         self.assertIsNotNone(state.origin_wish(3.1))
 
+    def test_all_chunks_of_a_late_fetcher_pass_to_the_next_at_once(self):
+        state = self.state("m4")
+        late = [i for i in sorted(state.missing) if state.plan.fetchers(i, "mtl")[0] == "m1"]
+        for index in sorted(state.missing - set(late)):
+            state.arrived(index, None, 1.0)
+        self.assertIsNone(state.origin_wish(2.9))
+        for at_s in (3.0, 3.1, 3.2, 3.3):
+            index = state.origin_wish(at_s)
+            self.assertIn(index, late)
+            state.arrived(index, None, at_s)
+        self.assertTrue(state.is_complete)
+
     def test_a_silent_region_is_left_for_another_and_at_last_for_the_origin(self):
         state = self.state("m2")
         index = next(i for i in state.missing if state.plan.fetchers(i, "qc")[0] == "m2")
