Never replay an answer that was not kept as an empty one

A caller's ticket on a model request (repeatable by default) got 200 with an empty body on a resend: a short answer that looks whole. Ruled out: tickets of services (not repeatable by default, answers kept) and an entry's own tickets (a repeatable request is never sent twice under one). Change: such a run is recorded without an answer, and a replay of it says that it ran and the answer was not kept; an entry treats a request with a caller's ticket as not repeatable, so its answer is kept.

--- a/daisystack/core/idempotency.py
+++ b/daisystack/core/idempotency.py
@@ -49,7 +49,7 @@
 
 @frozen
 class Replay:
-    """Return what the one run answered; None when it was too large to keep."""
+    """Return what the one run answered; None when it was not kept."""
 
     answer: RecordedAnswer | None
 
@@ -137,10 +137,12 @@
         self._add(ticket, _Record(RecordState.SEALED, ""))
         return SealOutcome(RecordState.SEALED, True)
 
-    def finish(self, ticket: Ticket, answer: RecordedAnswer) -> None:
-        """Record the whole answer of a run, or only that it ran when there is no room."""
+    def finish(self, ticket: Ticket, answer: RecordedAnswer | None) -> None:
+        """Record the whole answer of a run, or only that it ran when there is none or no room."""
         record = self._records[ticket]
         record.state = RecordState.FINISHED
+        if answer is None:
+            return
         size_bytes = len(answer.body)
         has_room = self.answer_bytes + size_bytes <= self.max_answer_bytes
         if size_bytes <= self.max_one_answer_bytes and has_room:
--- a/daisystack/runtime/caller_request.py
+++ b/daisystack/runtime/caller_request.py
@@ -55,6 +55,7 @@
     target = parse_target(kind, name, document)
     if len(path) > MAX_PATH_CHARS or not _PATH.fullmatch(path):
         raise BadRequest(f"got path {path[:MAX_PATH_CHARS]!r}, allowed are A-Z a-z 0-9 / . _ ~ -")
+    ticket = _ticket(request)
     return CallerRequest(
         request_id=secrets.token_hex(8),
         workspace=_workspace(request, document),
@@ -62,8 +63,9 @@
         path="/" + path,
         body=read_body(request, settings.max_body_bytes),
         content_type=request.header("content-type") or "application/octet-stream",
-        repeatable=_repeatable(request, kind),
-        ticket=_ticket(request),
+        # Whoever holds a ticket wants the recorded answer and not a second run.
+        repeatable=_repeatable(request, kind) and ticket is None,
+        ticket=ticket,
         prefix=_prefix(request),
         begun_s=now_s,
         deadline_s=now_s + _timeout_s(request, settings),
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -5,7 +5,6 @@
 import hashlib
 from collections.abc import Iterator
 
-import attrs
 from attrs import define, field, frozen
 
 from daisystack.core.crash_blame import CrashBlame
@@ -236,9 +235,8 @@
             self.blame.died(seen.life)
 
     def _settle(self, attempt: _Attempt, answer: RecordedAnswer) -> None:
-        if attempt.repeatable:
-            answer = attrs.evolve(answer, body=b"")
-        self.table.finish(attempt.ticket, answer)
+        # Nobody resends the ticket of a repeatable request, so its answer need not be kept.
+        self.table.finish(attempt.ticket, None if attempt.repeatable else answer)
 
     def _settle_unknown(self, attempt: _Attempt) -> None:
         self.table.finish_unknown(attempt.ticket)
@@ -259,7 +257,7 @@
 
 def _replayed(replay: Replay, ticket: Ticket) -> Response:
     if replay.answer is None:
-        reason = "it ran; its answer was too large to keep"
+        reason = "it ran; its answer was not kept"
         return _failure(AttemptEnd.OUTCOME_LOST, Verdict.RAN, False, reason)
     answer = replay.answer
     marks = (
--- a/daisystack/tests/test_agent_verdicts.py
+++ b/daisystack/tests/test_agent_verdicts.py
@@ -118,6 +118,16 @@
         self.assertEqual(b"".join(forward(agent, ticket).body), b"data: 1\n\n")
         self.assertEqual(forward(agent, ticket).body, b"data: 1\n\n")
 
+    def test_what_was_not_kept_is_never_replayed_as_an_empty_answer(self):
+        for sent in (answer(b"done"), STREAM):
+            with self.subTest(sent=sent[:40]):
+                agent = make_agent(self.serve(cut(sent)).address)
+                ticket = ticket_of(agent)
+                first = forward(agent, ticket, repeatable="yes").body
+                self.assertTrue(first if isinstance(first, bytes) else b"".join(first))
+                resend = forward(agent, ticket, repeatable="yes")
+                self.assertEqual((resend.status, verdict(resend)), (502, ("ran", "no")))
+
     def test_tickets_of_others_are_refused_without_a_seal(self):
         server = self.serve(cut(answer(b"ran")))
         agent = make_agent(server.address)
--- a/daisystack/tests/test_entry_verdicts.py
+++ b/daisystack/tests/test_entry_verdicts.py
@@ -20,6 +20,7 @@
     cut,
     echo,
     free_address,
+    read_request,
     reset,
     silence,
     ticket_line,
@@ -181,6 +182,17 @@
         self.assertEqual(header(post(entry), "Daisystack-Verdict"), "not_run")
         self.assertEqual(server.connections, 1)
 
+    def test_a_callers_ticket_makes_its_answer_worth_keeping(self):
+        heads = []
+
+        def script(sock):
+            heads.append(read_request(sock).lower())
+
+        server = ScriptedServer([script])
+        self.addCleanup(server.close)
+        post(make_entry(server.address), repeatable="yes", ticket="s1.1.200000.abc")
+        self.assertIn(b"daisystack-repeatable: no", heads[0])
+
     def test_a_stream_cut_midway_ends_in_an_error_event_and_no_last_chunk(self):
         server = ScriptedServer([begin_stream])
         self.addCleanup(server.close)
