--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 	$(BIN)/python -m tools.verdict build/junit.xml KNOWN-RED.txt
 
 lint: .venv/ready
-	$(BIN)/black --check --quiet daisystack tools benchmarks
-	$(BIN)/ruff check --quiet daisystack tools benchmarks
+	$(BIN)/black --check --quiet daisystack platform tools benchmarks
+	$(BIN)/ruff check --quiet daisystack platform tools benchmarks
 
 gen:
 	thrift --gen py:package_prefix=daisystack.wire. -out daisystack/wire wire/peer.thrift
--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -7,8 +7,14 @@
 from attrs import frozen
 
 from daisystack.core.config_keeper import Published
+from daisystack.core.direct_request import DirectAnswer, DirectRequest
 from daisystack.core.gate import EngineReport
+from daisystack.core.mirror import Change, Snapshot
+from daisystack.core.placement import DirectUpstream
 from daisystack.core.register import ModelRef
+from daisystack.core.targets import WeightTarget
+from daisystack.core.traffic import TrafficPolicy
+from daisystack.core.weight_pieces import EngineState, PieceList
 
 __all__ = [
     "BackendError",
@@ -16,8 +22,14 @@
     "LiveInstance",
     "LiveList",
     "LoadOrder",
+    "LocalEngine",
     "ModelEngine",
     "OrderAnswer",
+    "Publication",
+    "PublicationReader",
+    "PublicationRefused",
+    "PublishedStore",
+    "RequestDialect",
     "RateRefused",
     "WeightSource",
 ]
@@ -27,6 +39,14 @@
     """Say that a part of the platform did not answer as its contract says."""
 
 
+class PublicationRefused(ValueError):
+    """Say why a published value can't be used."""
+
+
+class VersionWithdrawn(BackendError):
+    """Say that an origin no longer has a version."""
+
+
 class RateRefused(BackendError):
     """Say that a weight source refused by rate, and when to come back."""
 
@@ -74,6 +94,58 @@
         """Return the list; raises BackendError."""
 
 
+class PublishedStore(Protocol):
+    """Read what operators publish, key by key."""
+
+    def read(self, prefix: str) -> Snapshot:
+        """Return all keys under a prefix, linearizably; raises BackendError."""
+
+
+Publication = TrafficPolicy | DirectUpstream | WeightTarget
+
+
+class PublicationReader(Protocol):
+    """Turn published values into what they mean."""
+
+    def read(self, change: Change) -> Publication | None:
+        """Return what a key holds, None for a key of no concern; raises PublicationRefused."""
+
+    def upstream_id(self, key: str) -> str | None:
+        """Return the upstream that a key is about."""
+
+
+class RequestDialect(Protocol):
+    """Translate between HTTP headers and the product's requests and answers."""
+
+    def read_request(
+        self,
+        method: str,
+        target: str,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+        arrived_s: float,
+    ) -> DirectRequest:
+        """Return the request; raises RequestRefused."""
+
+    def write_request(
+        self,
+        request: DirectRequest,
+        upstream: DirectUpstream,
+        workspace: str | None,
+        left_s: float,
+        rank: int | None,
+        exact_version: int | None,
+        resume_after: str | None,
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an attempt."""
+
+    def read_answer(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> DirectAnswer:
+        """Return what an answer says of itself."""
+
+    def echo(self, request_id: str) -> list[tuple[bytes, bytes]]:
+        """Return the headers that an answer of our own bears."""
+
+
 class WeightSource(Protocol):
     """Read manifests and chunks from the store or the origin."""
 
@@ -92,3 +164,32 @@
 
     def order(self, order: LoadOrder) -> OrderAnswer:
         """Send an order; raises BackendError when its answer is lost."""
+
+
+class WeightOrigin(Protocol):
+    """Read the pieces of a model's weights from where they are published."""
+
+    def piece_list(self, model: str, version: int) -> PieceList:
+        """Return the digests of a version; raises BackendError."""
+
+    def piece(self, model: str, version: int, index: int) -> bytes:
+        """Return a piece's bytes, unverified; raises BackendError."""
+
+
+class LocalEngine(Protocol):
+    """Fill, order and watch the engine on the own machine."""
+
+    def state(self) -> EngineState:
+        """Return what the engine says of itself; raises BackendError."""
+
+    def staged(self, model: str) -> frozenset[int]:
+        """Return the indexes of the pieces that lie staged; raises BackendError."""
+
+    def read_staged(self, model: str, index: int) -> bytes | None:
+        """Return a staged piece as it lies there now; raises BackendError."""
+
+    def stage(self, model: str, index: int, body: bytes) -> None:
+        """Stage a piece over whatever lies there; raises BackendError."""
+
+    def start(self, model: str, version: int, order_count: int) -> OrderAnswer:
+        """Order what is staged to be loaded, unless another order came; raises BackendError."""
--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -47,12 +47,18 @@
         body: bytes | None = None,
         read_timeout_s: float = READ_TIMEOUT_S,
         max_bytes: int = MAX_ANSWER_BYTES,
+        headers: dict[str, str] | None = None,
     ) -> HttpAnswer:
         """Return a whole answer; raises BackendError on any failure or an answer too large."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
         try:
             response = self._pool.request(
-                method, path, body=body, timeout=timeout, preload_content=False
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
             )
             got = _read_whole(response, max_bytes)
         except (urllib3.exceptions.HTTPError, OSError) as error:
--- /dev/null
+++ b/daisystack/core/engine_news.py
@@ -0,0 +1,51 @@
+"""Know the state of engines as the agents beside them read it."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+__all__ = ["EngineBoard", "EngineNews"]
+
+# A report older than this says nothing about the engine's load; several gossip rounds long.
+REPORT_LIFETIME_S = 2.0
+
+
+@frozen
+class EngineNews:
+    """Hold one engine's state; read_s is when its agent read it, on the own clock."""
+
+    address: str
+    born_ms: int
+    version: int
+    is_whole: bool
+    is_loading: bool
+    running: int
+    queued: int
+    read_s: float
+
+
+@define
+class EngineBoard:
+    """Keep the newest state of each engine."""
+
+    _by_address: dict[str, EngineNews] = field(factory=dict)
+
+    def heard(self, news: EngineNews) -> None:
+        """Take a state unless a newer one is known."""
+        known = self._by_address.get(news.address)
+        if known is None or news.read_s > known.read_s:
+            self._by_address[news.address] = news
+
+    def get(self, address: str, now_s: float) -> EngineNews | None:
+        """Return an engine's state if it was read lately."""
+        news = self._by_address.get(address)
+        if news is None or now_s - news.read_s > REPORT_LIFETIME_S:
+            return None
+        return news
+
+    def told(self, now_s: float) -> list[EngineNews]:
+        """Return all recent states and forget the others."""
+        old = [a for a, n in self._by_address.items() if now_s - n.read_s > REPORT_LIFETIME_S]
+        for address in old:
+            del self._by_address[address]
+        return list(self._by_address.values())
--- /dev/null
+++ b/daisystack/core/placement.py
@@ -0,0 +1,229 @@
+"""Choose among upstreams that are sent to directly, from own counts and other entries' news."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from attrs import define, field, frozen
+
+from daisystack.core.engine_news import EngineBoard
+
+__all__ = ["DirectUpstream", "Placement", "Refusal", "Wish"]
+
+# Other entries tell their counts every 0.4 s; older ones are of requests that have ended.
+COUNTS_LIFETIME_S = 2.5
+# A refused or lost connection keeps work away until the list has had time to notice a death.
+AVOID_S = 1.0
+# Weight of the newest outcome in an upstream's failure rate: some five outcomes of memory.
+FAILURE_SMOOTHING = 0.2
+# An upstream that fails all looks this many times as loaded as it is.
+FAILURE_PENALTY = 6.0
+# Failures fade so that an upstream that has recovered is tried again.
+FAILURE_HALF_LIFE_S = 3.0
+# A longer way is worth as much as this many requests that already run nearby.
+FAR_REQUESTS = 1.0
+# Requests that may queue at an engine per place, so that a freed place is never left empty.
+ENGINE_QUEUE_SHARE = 0.125
+# Plain work is short beside its objective, so a whole second round may queue.
+PLAIN_QUEUE_SHARE = 1.0
+
+
+class Draw(Protocol):
+    """Draw at random; callers pass their own source."""
+
+    def random(self) -> float:
+        """Return a number in [0, 1)."""
+
+
+@frozen
+class DirectUpstream:
+    """Hold what is published of one upstream.
+
+    version is that of the weights it holds whole, 0 for none; a plain service has no weights.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_ready: bool
+    born_ms: int = 0
+    has_engine: bool = False
+    version: int = 0
+
+
+@frozen
+class Wish:
+    """Say what an attempt needs of its upstream."""
+
+    service: str
+    zone: str
+    exact_version: int | None = None
+    min_version: int = 0
+    unwanted: frozenset[str] = frozenset()
+
+
+@frozen
+class Refusal:
+    """Say why no upstream can take a request now."""
+
+    reason: str
+    is_full: bool
+
+
+@define
+class _Health:
+    failure_rate: float = 0.0
+    judged_s: float = 0.0
+    avoid_until_s: float = float("-inf")
+
+
+@define
+class _Told:
+    counts: dict[str, int]
+    at_s: float
+
+
+@define
+class Placement:
+    """Know the upstreams, what runs at each, and which of them fail."""
+
+    draw: Draw
+    engines: EngineBoard
+    _listed: dict[str, DirectUpstream] = field(factory=dict)
+    _own: dict[str, int] = field(factory=dict)
+    _told: dict[str, _Told] = field(factory=dict)
+    _health: dict[str, _Health] = field(factory=dict)
+
+    def list(self, upstream: DirectUpstream) -> None:
+        """Take what is published of an upstream."""
+        self._listed[upstream.id] = upstream
+
+    def unlist(self, upstream_id: str) -> None:
+        """Drop an upstream that is no longer published."""
+        self._listed.pop(upstream_id, None)
+        self._health.pop(upstream_id, None)
+
+    def get(self, upstream_id: str) -> DirectUpstream | None:
+        """Return what is published of an upstream."""
+        return self._listed.get(upstream_id)
+
+    def listed(self) -> Iterable[DirectUpstream]:
+        """Return all upstreams."""
+        return self._listed.values()
+
+    def begin(self, upstream_id: str) -> None:
+        """Count a request sent."""
+        self._own[upstream_id] = self._own.get(upstream_id, 0) + 1
+
+    def end(self, upstream_id: str) -> None:
+        """Count a request ended."""
+        left = self._own.get(upstream_id, 0) - 1
+        if left > 0:
+            self._own[upstream_id] = left
+        else:
+            self._own.pop(upstream_id, None)
+
+    def own_counts(self) -> dict[str, int]:
+        """Return the own requests at each upstream, for other entries."""
+        return dict(self._own)
+
+    def heard_counts(self, entry_id: str, counts: dict[str, int], now_s: float) -> None:
+        """Take another entry's counts."""
+        self._told[entry_id] = _Told(counts, now_s)
+
+    def succeeded(self, upstream_id: str, now_s: float) -> None:
+        """Record an answer."""
+        self._judge(upstream_id, 0.0, now_s)
+
+    def failed(self, upstream_id: str, now_s: float) -> None:
+        """Record an upstream's own failure."""
+        self._judge(upstream_id, 1.0, now_s)
+
+    def avoid(self, upstream_id: str, now_s: float) -> None:
+        """Leave an upstream alone for a while."""
+        self._health.setdefault(upstream_id, _Health()).avoid_until_s = now_s + AVOID_S
+
+    def in_flight(self, upstream_id: str, now_s: float) -> int:
+        """Estimate an upstream's requests from the own ones and what others told."""
+        others = sum(
+            told.counts.get(upstream_id, 0)
+            for told in self._told.values()
+            if now_s - told.at_s <= COUNTS_LIFETIME_S
+        )
+        return self._own.get(upstream_id, 0) + others
+
+    def version_of(self, upstream: DirectUpstream, now_s: float) -> int:
+        """Return the version an engine holds whole, by its agent's newer word if there is one."""
+        news = self.engines.get(upstream.address, now_s)
+        if news is None or news.born_ms != upstream.born_ms:
+            return upstream.version
+        return news.version if news.is_whole else 0
+
+    def choose(self, wish: Wish, now_s: float) -> DirectUpstream | Refusal:
+        """Return the upstream where a request is best served now."""
+        able = [u for u in self._listed.values() if self._is_able(u, wish, now_s)]
+        if not able:
+            return Refusal("no upstream is there for it", False)
+        wanted = [u for u in able if not self._is_avoided(u, now_s)] or able
+        roomy = [u for u in wanted if self._has_room(u, now_s)]
+        if not roomy:
+            return Refusal(f"all {len(wanted)} upstreams are full", True)
+        return min(roomy, key=lambda u: (self._cost(u, wish, now_s), self.draw.random()))
+
+    def free_places(self, wish: Wish, now_s: float) -> int:
+        """Return how many more requests the upstreams take now."""
+        able = [u for u in self._listed.values() if self._is_able(u, wish, now_s)]
+        return sum(max(0, _most_requests(u) - self.in_flight(u.id, now_s)) for u in able)
+
+    def _is_able(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
+        if upstream.service != wish.service or not upstream.is_ready:
+            return False
+        if upstream.id in wish.unwanted:
+            return False
+        if not upstream.has_engine:
+            return True
+        news = self.engines.get(upstream.address, now_s)
+        if news is not None and news.is_loading and news.born_ms == upstream.born_ms:
+            return False
+        version = self.version_of(upstream, now_s)
+        if wish.exact_version is not None:
+            return version == wish.exact_version
+        return version > 0 and version >= wish.min_version
+
+    def _has_room(self, upstream: DirectUpstream, now_s: float) -> bool:
+        return self.in_flight(upstream.id, now_s) < _most_requests(upstream)
+
+    def _cost(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> float:
+        requests = self.in_flight(upstream.id, now_s)
+        requests += 0.0 if upstream.zone == wish.zone else FAR_REQUESTS
+        return (requests + 1.0) / upstream.slots * self._penalty(upstream.id, now_s)
+
+    def _penalty(self, upstream_id: str, now_s: float) -> float:
+        health = self._health.get(upstream_id)
+        if health is None:
+            return 1.0
+        return 1.0 + FAILURE_PENALTY * _faded(health, now_s)
+
+    def _is_avoided(self, upstream: DirectUpstream, now_s: float) -> bool:
+        health = self._health.get(upstream.id)
+        return health is not None and now_s < health.avoid_until_s
+
+    def _judge(self, upstream_id: str, outcome: float, now_s: float) -> None:
+        health = self._health.setdefault(upstream_id, _Health())
+        rate = _faded(health, now_s)
+        health.failure_rate = rate + FAILURE_SMOOTHING * (outcome - rate)
+        health.judged_s = now_s
+        if outcome == 0.0:
+            health.avoid_until_s = float("-inf")
+
+
+def _faded(health: _Health, now_s: float) -> float:
+    return health.failure_rate * 0.5 ** ((now_s - health.judged_s) / FAILURE_HALF_LIFE_S)
+
+
+def _most_requests(upstream: DirectUpstream) -> int:
+    share = ENGINE_QUEUE_SHARE if upstream.has_engine else PLAIN_QUEUE_SHARE
+    return upstream.slots + max(1, round(upstream.slots * share))
--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -12,6 +12,7 @@
 __all__ = [
     "agent_neighbours",
     "entry_neighbours",
+    "reader_patience_s",
     "reader_ranking",
     "should_read",
     "upstreams_of_entry",
@@ -24,6 +25,11 @@
 STALE_AFTER_S = 6.0
 STALE_STEP_S = 0.5
 MAX_STALE_RANK = 40
+# Half of the two seconds in which a configuration is to be in force, less a round of news.
+FIRST_READER_S = 0.7
+# One round of news, so that a later rank reads only when the earlier ones brought nothing.
+READER_STEP_S = 0.45
+MAX_READER_STEPS = 6
 
 
 def reader_ranking(document: SiteDocument, zone: str) -> list[str]:
@@ -50,6 +56,11 @@
     return service_age_s > patience_s
 
 
+def reader_patience_s(rank: int) -> float:
+    """Return how old a mirror may grow before the process of this rank in its zone reads itself."""
+    return FIRST_READER_S + READER_STEP_S * min(rank, MAX_READER_STEPS)
+
+
 def agent_neighbours(document: SiteDocument, me: str) -> list[str]:
     """Return the peers to which an agent sends heartbeats; their number does not grow."""
     instance = document.instances[me]
--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from daisystack.core.retries import RetryBudget
+from daisystack.core.retries import Budget
 from daisystack.core.tickets import Ticket
 from daisystack.core.verdicts import AttemptEnd, Verdict, combine_verdicts, judge_attempt
 
@@ -79,6 +79,8 @@
     deadline_s: float
     caller_ticket: Ticket | None = None
     max_attempts: int = MAX_ATTEMPTS
+    # An upstream that is sent to directly keeps no tickets, so asking it again may run it twice.
+    has_owner: bool = True
     outcomes: list[AttemptOutcome] = field(factory=list)
 
     def tried(self) -> frozenset[str]:
@@ -103,7 +105,7 @@
     def _combined(self) -> Verdict:
         return combine_verdicts(outcome.verdict for outcome in self.outcomes)
 
-    def after(self, outcome: AttemptOutcome, budget: RetryBudget, now_s: float) -> NextStep:
+    def after(self, outcome: AttemptOutcome, budget: Budget, now_s: float) -> NextStep:
         """Decide the next step once an attempt has ended and nothing reached the caller."""
         self.outcomes.append(outcome)
         if outcome.end is AttemptEnd.ANSWERED:
@@ -133,6 +135,6 @@
             return None if is_final else RetrySameOwner(SAME_OWNER_PAUSE_S)
         if self.repeatable or self.verdict is Verdict.NOT_RUN:
             return RetryElsewhere()
-        if outcome.reported is None:
+        if outcome.reported is None and self.has_owner:
             return RetrySameOwner(SAME_OWNER_PAUSE_S)
         return None
--- a/daisystack/core/retries.py
+++ b/daisystack/core/retries.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
-from attrs import define
+from collections import deque
+from typing import Protocol
 
-__all__ = ["RetryBudget"]
+from attrs import define, field
+
+__all__ = ["Budget", "RetryBudget", "WindowedBudget"]
+
+# Keeps the sum over all entries below the published bound while counts of entries differ.
+SAFETY_SHARE = 0.7
+
+
+class Budget(Protocol):
+    """Say whether one more retry may be sent."""
+
+    def take(self) -> bool:
+        """Spend one retry if the budget has it."""
 
 
 @define
@@ -25,3 +38,41 @@
             return False
         self.saved -= 1.0
         return True
+
+
+@define
+class WindowedBudget:
+    """Bound the retries of one entry at one service within any window.
+
+    All entries together may send ratio x requests + slack. Each spends the ratio of its own
+    requests and an equal part of the slack.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+    _firsts_s: deque[float] = field(factory=deque)
+    _retries_s: deque[float] = field(factory=deque)
+
+    def earn(self, now_s: float) -> None:
+        """Count a first attempt."""
+        self._firsts_s.append(now_s)
+        self._drop_old(now_s)
+
+    def left(self, entries: int, now_s: float) -> float:
+        """Return how many retries may still be sent in this window."""
+        self._drop_old(now_s)
+        allowed = self.ratio * len(self._firsts_s) + self.slack / max(1, entries)
+        return SAFETY_SHARE * allowed - len(self._retries_s)
+
+    def take(self, entries: int, now_s: float) -> bool:
+        """Spend one retry if the window has it."""
+        if self.left(entries, now_s) < 1.0:
+            return False
+        self._retries_s.append(now_s)
+        return True
+
+    def _drop_old(self, now_s: float) -> None:
+        for times in (self._firsts_s, self._retries_s):
+            while times and times[0] < now_s - self.window_s:
+                times.popleft()
--- /dev/null
+++ b/daisystack/core/roll.py
@@ -0,0 +1,40 @@
+"""Decide when an engine that serves takes its turn to load another version."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from daisystack.core.rendezvous import rank_members
+
+__all__ = ["RollPlan", "order_time_s"]
+
+# The last order leaves this long before the bound: the engine takes nothing new after it.
+LAST_ORDER_MARGIN_S = 1.0
+# A first turn needs no wait, the last one waits until its time.
+EARLIEST_SHARE = 0.0
+
+
+@frozen
+class RollPlan:
+    """Spread the turns of the engines of one service over the time that is left."""
+
+    me: str
+    engines: Sequence[str]
+    bound_s: float
+
+    def turn(self) -> float:
+        """Return the own place among the engines, from 0 for the first to 1 for the last."""
+        ranked = rank_members("roll", {self.me, *self.engines})
+        if len(ranked) == 1:
+            return EARLIEST_SHARE
+        return ranked.index(self.me) / (len(ranked) - 1)
+
+
+def order_time_s(plan: RollPlan, learned_s: float, ready_s: float) -> float:
+    """Return when an engine that serves should be ordered, once its pieces are staged."""
+    last_s = learned_s + plan.bound_s - LAST_ORDER_MARGIN_S
+    if last_s <= ready_s:
+        return ready_s
+    return ready_s + plan.turn() * (last_s - ready_s)
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -27,6 +27,7 @@
     REFUSED_AT_GATE = "refused_at_gate"
     NEVER_ARRIVED = "never_arrived"
     NO_ANSWER = "no_answer"
+    DEADLINE = "deadline"
     ANSWER_CUT = "answer_cut"
     ANSWER_MIXED = "answer_mixed"
     ANSWER_FOREIGN = "answer_foreign"
--- /dev/null
+++ b/daisystack/core/weight_pieces.py
@@ -0,0 +1,128 @@
+"""Describe the weights of a version by pieces and plan which entry holds which of them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+from attrs import define, field, frozen
+
+from daisystack.core.manifests import digest_bytes
+
+__all__ = [
+    "EngineState",
+    "HolderPlan",
+    "PieceCache",
+    "PieceList",
+    "is_piece",
+    "sorted_zones",
+]
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+@frozen
+class PieceList:
+    """List the SHA-256 of each piece of a version in order."""
+
+    model: str
+    version: int
+    digests: tuple[str, ...]
+
+    def __attrs_post_init__(self) -> None:
+        bad = [d for d in self.digests if not _DIGEST.fullmatch(d)]
+        if bad or not self.digests:
+            raise ValueError(f"got digests {bad[:3]}, allowed are 64 hex digits each")
+
+
+def is_piece(pieces: PieceList, index: int, body: bytes | None) -> bool:
+    """Say whether bytes are the piece of that index."""
+    return body is not None and digest_bytes(body) == pieces.digests[index]
+
+
+@frozen
+class EngineState:
+    """Hold what an engine says of itself.
+
+    version is that of the weights it holds whole, 0 for none. order_count grows with
+    each order that the engine has begun, and starts anew with each life.
+    """
+
+    model: str
+    version: int
+    is_busy: bool
+    order_count: int
+    running: int
+    queued: int
+    born_ms: int
+
+
+@frozen
+class HolderPlan:
+    """Place the pieces on entries so that each zone holds one copy and the origin sends one.
+
+    zones maps an availability zone to its entries in an order that all processes agree on.
+    """
+
+    origin_zone: str
+    zones: dict[str, tuple[str, ...]]
+
+    def holder(self, zone: str, index: int) -> str | None:
+        """Return the entry of a zone that holds a piece."""
+        entries = self.zones.get(zone, ())
+        return entries[index % len(entries)] if entries else None
+
+    def fetcher(self, index: int) -> str | None:
+        """Return the entry that pulls a piece from the origin, in its zone if one is there."""
+        first = [self.origin_zone, *sorted(self.zones)]
+        return next((h for zone in first if (h := self.holder(zone, index)) is not None), None)
+
+    def held_by(self, me: str, zone: str, count: int) -> list[int]:
+        """Return the pieces that an entry holds for its zone."""
+        return [index for index in range(count) if self.holder(zone, index) == me]
+
+
+@define
+class PieceCache:
+    """Hold verified pieces of the newest versions by their digest."""
+
+    max_versions: int = 2
+    lists: dict[tuple[str, int], PieceList] = field(factory=dict)
+    _bodies: dict[str, bytes] = field(factory=dict)
+
+    def add_list(self, pieces: PieceList) -> None:
+        """Remember a version, and forget the oldest ones of its model with their pieces."""
+        self.lists[(pieces.model, pieces.version)] = pieces
+        versions = sorted(v for m, v in self.lists if m == pieces.model)
+        for version in versions[: -self.max_versions]:
+            del self.lists[(pieces.model, version)]
+        wanted = {digest for known in self.lists.values() for digest in known.digests}
+        self._bodies = {d: body for d, body in self._bodies.items() if d in wanted}
+
+    def drop_list(self, model: str, version: int) -> None:
+        """Forget a list that its pieces don't fit."""
+        self.lists.pop((model, version), None)
+
+    def get(self, digest: str) -> bytes | None:
+        """Return a piece."""
+        return self._bodies.get(digest)
+
+    def put(self, pieces: PieceList, index: int, body: bytes) -> bool:
+        """Hold a piece if its digest fits, and say so."""
+        if not is_piece(pieces, index, body):
+            return False
+        self._bodies[pieces.digests[index]] = body
+        return True
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the pieces take."""
+        return sum(map(len, self._bodies.values()))
+
+
+def sorted_zones(members: Sequence[tuple[str, str]]) -> dict[str, tuple[str, ...]]:
+    """Return the entries of each zone in order, from pairs of id and zone."""
+    zones: dict[str, list[str]] = {}
+    for member_id, zone in sorted(members):
+        zones.setdefault(zone, []).append(member_id)
+    return {zone: tuple(ids) for zone, ids in zones.items()}
--- /dev/null
+++ b/daisystack/runtime/caller_http.py
@@ -0,0 +1,334 @@
+"""Serve callers over HTTP/1.1 with strict framing, one task per connection."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+from collections.abc import Callable
+
+import eventlet
+import eventlet.greenthread
+import h11
+from attrs import define, field, frozen
+
+from daisystack.core.addresses import Address
+from daisystack.core.traffic import CallerLimits
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import CallerRefused
+from daisystack.runtime.logs import log_event
+
+__all__ = ["CallerGone", "CallerServer", "InboundRequest", "Responder"]
+
+READ_BYTES = 65_536
+# The kernel's queue of connections that are not yet accepted.
+BACKLOG = 1024
+# A caller that takes nothing of its answer for this long is treated as gone.
+SEND_TIMEOUT_S = 10.0
+# Bytes taken from a caller that sends its next request before it has this one's answer.
+MAX_EARLY_BYTES = 65_536
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+Headers = list[tuple[bytes, bytes]]
+
+_logger = logging.getLogger("daisystack.callers")
+
+
+class CallerGone(Exception):
+    """Say that the caller has closed its connection."""
+
+
+class _Refused(Exception):
+    """Say that what a caller sent is refused with a status, and that its connection ends."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@frozen
+class InboundRequest:
+    """Hold one whole request as it came over the wire; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    arrived_s: float
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return None
+
+
+@define(eq=False)
+class Responder:
+    """Send one answer; every failure to send means that the caller is gone."""
+
+    _connection: _Connection
+    is_begun: bool = False
+    is_done: bool = False
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        self.begin(status, [*headers, (b"Content-Length", str(len(body)).encode())])
+        if body and self._connection.allows_body:
+            self.piece(body)
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer; without a length it goes out in chunks."""
+        self.is_begun = True
+        self._connection.send_head(status, headers)
+
+    def piece(self, body: bytes) -> None:
+        """Send a piece of the body at once."""
+        self._connection.send(h11.Data(data=body))
+
+    def finish(self) -> None:
+        """Say that the answer is whole."""
+        self._connection.send(h11.EndOfMessage())
+        self.is_done = True
+
+
+Handler = Callable[[InboundRequest, Responder], None]
+
+
+@define(eq=False)
+class CallerServer:
+    """Own the listening socket and count the open connections and requests."""
+
+    address: Address
+    handler: Handler
+    limits: Callable[[], CallerLimits]
+    is_leaving: Callable[[], bool]
+    in_progress: int = 0
+    accepted: int = 0
+    _open: set[_Connection] = field(factory=set)
+
+    def start(self) -> None:
+        """Listen; raises OSError when the address can't be bound."""
+        listener = eventlet.listen((self.address.host, self.address.port), backlog=BACKLOG)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        eventlet.spawn(self._accept, listener)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self._open):
+            connection.close_if_idle()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError as error:
+                # Out of descriptors, or the caller has gone already.
+                log_event(_logger, CallerRefused(0, f"accept: {error}"))
+                eventlet.sleep(0.01)
+                continue
+            self.accepted += 1
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        connection = _Connection(self, sock)
+        self._open.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._open.discard(connection)
+
+
+@define(eq=False)
+class _Connection:
+    server: CallerServer
+    sock: socket.socket
+    http: h11.Connection = field(init=False)
+    allows_body: bool = True
+    _is_idle: bool = True
+    _early: bytearray = field(factory=bytearray)
+    _has_ended: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        limit = self.server.limits().max_head_bytes
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while self._serve_one():
+                self.http.start_next_cycle()
+        except (CallerGone, OSError):
+            pass
+        finally:
+            with contextlib.suppress(OSError):
+                self.sock.close()
+
+    def close_if_idle(self) -> None:
+        """End the connection if no byte of a request has come."""
+        if self._is_idle:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send an answer's head, and say whether the connection goes on."""
+        if self.server.is_leaving():
+            headers = [*headers, (b"Connection", b"close")]
+        reason = REASONS.get(status, b"")
+        self.send(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def send(self, event: h11.Event) -> None:
+        """Send one part of an answer; raises CallerGone."""
+        out = self.http.send(event)
+        if not out:
+            return
+        try:
+            with eventlet.Timeout(SEND_TIMEOUT_S, CallerGone("takes nothing")):
+                self.sock.sendall(out)
+        except OSError as error:
+            raise CallerGone(str(error)) from error
+
+    def _serve_one(self) -> bool:
+        try:
+            request = self._read_request()
+        except _Refused as refused:
+            self._refuse(refused)
+            return False
+        if request is None:
+            return False
+        responder = Responder(self)
+        self.server.in_progress += 1
+        watcher = eventlet.spawn(self._watch_gone, eventlet.getcurrent())
+        try:
+            self.server.handler(request, responder)
+        finally:
+            watcher.kill()
+            self.server.in_progress -= 1
+        if not responder.is_done or self._has_ended:
+            return False
+        self._is_idle = True
+        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+
+    def _read_request(self) -> InboundRequest | None:
+        limits = self.server.limits()
+        head = self._read_head(limits)
+        if head is None:
+            return None
+        arrived_s = now_s()
+        _check_framing(head)
+        self.allows_body = head.method != b"HEAD"
+        body = self._read_body(limits)
+        target = head.target.decode("latin-1")
+        return InboundRequest(
+            head.method.decode("latin-1"), target, tuple(head.headers), body, arrived_s
+        )
+
+    def _read_head(self, limits: CallerLimits) -> h11.Request | None:
+        until_s = now_s() + limits.idle_timeout_s
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            has_bytes = bool(self.http.trailing_data[0])
+            if has_bytes and self._is_idle:
+                self._is_idle = False
+                until_s = now_s() + limits.head_timeout_s
+            if not self._receive(until_s):
+                if has_bytes and not self._has_ended:
+                    raise _Refused(408, "head did not come in time")
+                return None
+            self._is_idle = False
+
+    def _read_body(self, limits: CallerLimits) -> bytes:
+        body = bytearray()
+        until_s = now_s() + limits.idle_timeout_s
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    raise _Refused(413, f"body is over {limits.max_body_bytes} bytes")
+                continue
+            if event is not h11.NEED_DATA:
+                raise CallerGone("closed within the body")
+            if self.http.they_are_waiting_for_100_continue:
+                self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            if not self._receive(until_s):
+                if self._has_ended:
+                    raise CallerGone("closed within the body")
+                raise _Refused(408, "body did not come in time")
+
+    def _next_event(self) -> object:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _Refused(error.error_status_hint, str(error)) from error
+
+    def _receive(self, until_s: float) -> bool:
+        """Take more bytes; False when none came in time or the caller has closed."""
+        if self._early:
+            self.http.receive_data(bytes(self._early))
+            self._early.clear()
+            return True
+        if self._has_ended:
+            return False
+        with eventlet.Timeout(max(0.0, until_s - now_s()), False):
+            got = self.sock.recv(READ_BYTES)
+            self._has_ended = not got
+            self.http.receive_data(got)
+            return bool(got)
+        return False
+
+    def _watch_gone(self, handler_task: object) -> None:
+        """Notice that the caller closes while its request is in progress."""
+        while len(self._early) < MAX_EARLY_BYTES:
+            try:
+                got = self.sock.recv(READ_BYTES)
+            except OSError:
+                got = b""
+            if not got:
+                self._has_ended = True
+                eventlet.kill(handler_task, CallerGone("closed"))
+                return
+            self._early += got
+
+    def _refuse(self, refused: _Refused) -> None:
+        log_event(_logger, CallerRefused(refused.status, str(refused)))
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = f'{{"error": "{refused.status}"}}\n'.encode()
+        headers = [(b"Content-Length", str(len(body)).encode()), (b"Connection", b"close")]
+        with contextlib.suppress(CallerGone, h11.LocalProtocolError):
+            self.send_head(refused.status, headers)
+            self.send(h11.Data(data=body))
+            self.send(h11.EndOfMessage())
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuse heads whose body length another parser may read differently."""
+    names = [name for name, _ in head.headers]
+    if names.count(b"transfer-encoding") and names.count(b"content-length"):
+        raise _Refused(400, "both Content-Length and Transfer-Encoding")
+    if names.count(b"transfer-encoding") > 1 or names.count(b"host") > 1:
+        raise _Refused(400, "a header is repeated that must not be")
--- a/daisystack/runtime/clock.py
+++ b/daisystack/runtime/clock.py
@@ -11,8 +11,8 @@
 
 
 def now_s() -> float:
-    """Return the monotonic time."""
-    return time.monotonic()
+    """Return the monotonic time, which goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_clock_s() -> float:
--- /dev/null
+++ b/daisystack/runtime/direct_attempt.py
@@ -0,0 +1,164 @@
+"""Run the attempts of one request at upstreams and pass one answer on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import define, frozen
+
+from daisystack.backends import RequestDialect
+from daisystack.core.direct_request import DirectAnswer, DirectRequest
+from daisystack.core.event_stream import EventSplitter, StreamEvent
+from daisystack.core.placement import DirectUpstream
+from daisystack.core.traffic import RequestKind, Route, Workspace
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.caller_http import Responder
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.direct_http import DirectExchange
+from daisystack.runtime.upstream_http import AttemptFailed
+
+__all__ = ["Attempt", "DirectAttempt"]
+
+FIRST_SERVER_ERROR = 500
+
+
+@frozen
+class Attempt:
+    """Say how one attempt ended."""
+
+    end: AttemptEnd
+    reason: str = ""
+    status: int = 0
+    was_reset: bool = False
+
+
+@frozen
+class _KeptFailure:
+    answer: DirectAnswer
+    body: bytes
+
+
+@define(eq=False)
+class DirectAttempt:
+    """Own the way from one upstream after another to one caller's answer."""
+
+    dialect: RequestDialect
+    request: DirectRequest
+    route: Route
+    responder: Responder
+    deadline_s: float
+    status: int = 0
+    kept_failure: _KeptFailure | None = None
+    exact_version: int | None = None
+    first_event_s: float | None = None
+    _last_id: bytes | None = None
+    _last_number: int | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Say whether anything of an answer has reached the caller."""
+        return self.responder.is_begun
+
+    def run(
+        self, upstream: DirectUpstream, workspace: Workspace | None, rank: int | None
+    ) -> Attempt:
+        """Send the request to an upstream and pass its answer on."""
+        exchange = DirectExchange(upstream.address, self.deadline_s)
+        try:
+            exchange.connect()
+            self._send(exchange, upstream, workspace, rank)
+            return self._take(exchange)
+        except AttemptFailed as failure:
+            return Attempt(failure.end, failure.reason, 0, exchange.was_reset)
+        finally:
+            exchange.close()
+
+    def pass_failure_on(self) -> None:
+        """Pass on the failure that an upstream answered with."""
+        kept = self.kept_failure
+        self.status = kept.answer.status
+        self.responder.whole(kept.answer.status, list(kept.answer.headers), kept.body)
+
+    def _send(
+        self,
+        exchange: DirectExchange,
+        upstream: DirectUpstream,
+        workspace: Workspace | None,
+        rank: int | None,
+    ) -> None:
+        headers = self.dialect.write_request(
+            self.request,
+            upstream,
+            workspace.name if workspace else None,
+            self.deadline_s - now_s(),
+            rank,
+            self.exact_version,
+            self._last_id.decode("latin-1") if self._last_id else None,
+        )
+        exchange.send(self.request.method, self.request.target, headers, self.request.body)
+
+    def _take(self, exchange: DirectExchange) -> Attempt:
+        head = exchange.read_head()
+        answer = self.dialect.read_answer(head.status, head.headers)
+        if answer.was_not_run:
+            return Attempt(AttemptEnd.REFUSED_AT_GATE, f"upstream said {head.status}", head.status)
+        if answer.request_id != self.request.id:
+            raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another request")
+        if answer.is_encoded or not answer.is_genuine:
+            raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer is not the upstream's own")
+        if self.route.kind is RequestKind.STREAM and answer.is_stream and _is_success(answer):
+            return self._pass_stream(exchange, answer)
+        return self._pass_whole(exchange, answer)
+
+    def _pass_whole(self, exchange: DirectExchange, answer: DirectAnswer) -> Attempt:
+        body = exchange.read_whole()
+        if answer.status >= FIRST_SERVER_ERROR or self.has_begun:
+            self.kept_failure = _KeptFailure(answer, body)
+            reason = f"upstream failed with {answer.status}"
+            return Attempt(AttemptEnd.ANSWER_CUT, reason, answer.status)
+        self.status = answer.status
+        self.responder.whole(answer.status, list(answer.headers), body)
+        return Attempt(AttemptEnd.ANSWERED, "", answer.status)
+
+    def _pass_stream(self, exchange: DirectExchange, answer: DirectAnswer) -> Attempt:
+        if self.exact_version is not None and answer.version != self.exact_version:
+            raise AttemptFailed(AttemptEnd.ANSWER_MIXED, "answer is of another version")
+        for event in self._events(exchange):
+            if self._is_repeated(event):
+                continue
+            self._begin_once(answer)
+            self.responder.piece(event.body)
+            if event.id is not None:
+                self._last_id = event.id
+                self._last_number = event.number
+        self._begin_once(answer)
+        self.responder.finish()
+        return Attempt(AttemptEnd.ANSWERED, "", answer.status)
+
+    def _events(self, exchange: DirectExchange) -> Iterator[StreamEvent]:
+        splitter = EventSplitter()
+        for piece in exchange.pieces():
+            try:
+                yield from splitter.feed(piece)
+            except ValueError as error:
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, str(error)) from error
+        if splitter.has_rest:
+            raise AttemptFailed(AttemptEnd.ANSWER_CUT, "stream ended within an event")
+
+    def _begin_once(self, answer: DirectAnswer) -> None:
+        if self.has_begun:
+            return
+        self.first_event_s = now_s()
+        self.status = answer.status
+        # What follows must come from the same weights as what the caller already has.
+        self.exact_version = answer.version
+        self.responder.begin(answer.status, list(answer.headers))
+
+    def _is_repeated(self, event: StreamEvent) -> bool:
+        if event.number is None or self._last_number is None:
+            return False
+        return event.number <= self._last_number
+
+
+def _is_success(answer: DirectAnswer) -> bool:
+    return 200 <= answer.status < 300
--- /dev/null
+++ b/daisystack/runtime/direct_entry.py
@@ -0,0 +1,207 @@
+"""Run the daemon on an entry instance whose upstreams are sent to directly."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+
+from daisystack.backends import PublicationReader, PublishedStore, RequestDialect, WeightOrigin
+from daisystack.core.addresses import parse_address
+from daisystack.core.crash_hold import CrashHold
+from daisystack.core.direct_settings import DirectEntrySettings
+from daisystack.core.engine_news import EngineBoard
+from daisystack.core.membership import Member, MemberRole, usable_entries
+from daisystack.core.mirror import Change, Mirror
+from daisystack.core.placement import Placement
+from daisystack.core.rendezvous import rank_members
+from daisystack.core.traffic import CallerLimits
+from daisystack.runtime.caller_http import CallerServer
+from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.direct_requests import DirectRequests, DirectSettings
+from daisystack.runtime.mesh_handler import MeshHandler
+from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.mirror_task import MirrorTask
+from daisystack.runtime.peer_link import serve_peers
+from daisystack.runtime.piece_task import PieceTask
+from daisystack.runtime.published import PublishedState
+from daisystack.runtime.stopping import wait_for_stop
+
+__all__ = ["DirectEntry"]
+
+# A zone's own entries are enough when one may fail and another still serves.
+MIN_NEAR_ENTRIES = 2
+# A key must be confirmed this much sooner than the bound, for the time a request is under way.
+KEY_MARGIN_S = 0.6
+# Requests that queue at an upstream begin later than they are sent.
+VERSION_MARGIN_S = 1.2
+# The share of the grace in which everything in progress must have ended.
+STOP_SHARE = 0.95
+
+
+@define(eq=False)
+class DirectEntry:
+    """Own the callers' side, the mirrors of what is published, and the mesh."""
+
+    settings: DirectEntrySettings
+    operator_prefix: str
+    upstream_prefix: str
+    store: PublishedStore
+    reader: PublicationReader
+    dialect: RequestDialect
+    make_origin: Callable[[str], WeightOrigin]
+    is_leaving: bool = False
+    mirrors: dict[str, Mirror] = field(init=False)
+    placement: Placement = field(init=False)
+    published: PublishedState = field(init=False)
+    mesh: MeshTask = field(init=False)
+    requests: DirectRequests = field(init=False)
+    server: CallerServer = field(init=False)
+    tasks: list[MirrorTask] = field(init=False)
+    pieces: PieceTask = field(init=False)
+    _origins: dict[str, WeightOrigin] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        prefixes = (self.operator_prefix, self.upstream_prefix)
+        self.mirrors = {prefix: Mirror(prefix) for prefix in prefixes}
+        engines = EngineBoard()
+        self.placement = Placement(random.SystemRandom(), engines)
+        self.published = PublishedState(self.reader, self.placement)
+        hold = CrashHold()
+        self.mesh = MeshTask(
+            self._own_member(),
+            self.settings.place.seeds,
+            tuple(self.mirrors.values()),
+            self.take_changes,
+            own_counts=self.placement.own_counts,
+            own_crashes=hold.told,
+            on_counts=self.placement.heard_counts,
+            on_crashes=hold.heard,
+            engines=engines,
+            targets=self.published.targets,
+        )
+        self.pieces = PieceTask(
+            lambda: self.mesh.own,
+            lambda: self.mesh.live_entries(now_s()),
+            self.find_origin,
+            self.published.targets,
+        )
+        self.published.on_target.append(self.pieces.wanted)
+        self.requests = self._make_requests(hold)
+        address = parse_address(self.settings.caller_address)
+        self.server = CallerServer(
+            address, self.requests.handle, self._limits, lambda: self.is_leaving
+        )
+        self.tasks = [
+            MirrorTask(mirror, self.store, self._reader_rank, self.take_changes)
+            for mirror in self.mirrors.values()
+        ]
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether callers may be sent here."""
+        return not self.is_leaving and self.has_beliefs
+
+    @property
+    def has_beliefs(self) -> bool:
+        """Say whether enough is known to serve."""
+        return all(m.is_known for m in self.mirrors.values()) and self.published.policy is not None
+
+    def start(self) -> None:
+        """Listen and start the tasks; raises OSError when an address can't be bound."""
+        serve_peers(parse_address(self.settings.peer_address), MeshHandler(self.mesh, self.pieces))
+        for task in self.tasks:
+            task.start()
+        self.mesh.start()
+        self.server.start()
+
+    def take_changes(self, mirror: Mirror, changes: list[Change]) -> None:
+        """Take what has changed in a mirror and pass it on."""
+        self.published.take(mirror, changes)
+        self.mesh.set_own(self.is_ready, self.is_leaving)
+        self.mesh.spread()
+
+    def find_origin(self) -> tuple[WeightOrigin, str] | None:
+        """Return the origin of weights and its zone, None while none is published."""
+        policy = self.published.policy
+        found = policy.origins() if policy else []
+        if not found:
+            return None
+        address = found[0].origin_address
+        if address not in self._origins:
+            self._origins[address] = self.make_origin(address)
+        return self._origins[address], found[0].zone
+
+    def addresses_for(self, zone: str) -> list[str]:
+        """Return the addresses that callers of a zone should use."""
+        entries = self.mesh.live_entries(now_s())
+        usable = usable_entries(self.mesh.own, entries, zone, MIN_NEAR_ENTRIES)
+        return [member.caller_address for member in usable]
+
+    def run_until_stopped(self, on_hangup: Callable[[], None]) -> None:
+        """Serve until asked to stop, then until nobody is sent here any more."""
+        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn(on_hangup))
+        wait_for_stop()
+        self.leave()
+        asked_s = now_s()
+        last_s = self.settings.stop_grace_s * STOP_SHARE
+        linger_s = min(last_s, 3 * self.settings.address_lifetime_s)
+        while now_s() - asked_s < linger_s:
+            eventlet.sleep(0.05)
+        self.server.close_idle()
+        while self.server.in_progress and now_s() - asked_s < last_s:
+            eventlet.sleep(0.02)
+
+    def leave(self) -> None:
+        """Tell everybody that this entry takes no new callers."""
+        self.is_leaving = True
+        self.mesh.set_own(False, True)
+
+    def _own_member(self) -> Member:
+        settings = self.settings
+        return Member(
+            id=settings.place.id,
+            incarnation=new_incarnation(),
+            role=MemberRole.ENTRY,
+            peer_address=settings.peer_address,
+            caller_address=settings.caller_address,
+            zone=settings.place.zone,
+            region=settings.place.region,
+        )
+
+    def _make_requests(self, hold: CrashHold) -> DirectRequests:
+        settings = self.settings
+        bounds = DirectSettings(
+            zone=settings.place.zone,
+            max_key_age_s=settings.revoke_bound_s - KEY_MARGIN_S,
+            version_roll_s=settings.version_bound_s - VERSION_MARGIN_S,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+        )
+        return DirectRequests(
+            bounds,
+            self.dialect,
+            self.published,
+            self.placement,
+            self.mirrors[self.operator_prefix],
+            self._count_entries,
+            hold,
+        )
+
+    def _count_entries(self) -> int:
+        return 1 + len(self.mesh.membership.members(MemberRole.ENTRY))
+
+    def _reader_rank(self) -> int:
+        """Return the own place among the live entries of the zone that may read the store."""
+        place = self.settings.place
+        near = [m.id for m in self.mesh.live_entries(now_s()) if m.zone == place.zone]
+        ranked = rank_members(f"reader/{place.zone}", [place.id, *near])
+        return min(2, ranked.index(place.id))
+
+    def _limits(self) -> CallerLimits:
+        policy = self.published.policy
+        return policy.limits if policy else CallerLimits()
--- /dev/null
+++ b/daisystack/runtime/direct_http.py
@@ -0,0 +1,175 @@
+"""Send one attempt straight to an upstream and say exactly how far it came."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import eventlet
+import h11
+from attrs import define, field, frozen
+from eventlet.green import socket as green_socket
+
+from daisystack.core.addresses import parse_address
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.upstream_http import AttemptFailed
+
+__all__ = ["AnswerHead", "DirectExchange", "is_listening"]
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+MAX_WHOLE_ANSWER_BYTES = 32 * 1024 * 1024
+# Several round trips between the farthest zones; a full accept queue costs seconds instead.
+CONNECT_TIMEOUT_S = 0.4
+# Bytes that an upstream's machine has not acknowledged for this long never will be.
+UNACKNOWLEDGED_TIMEOUT_MS = 1500
+KEEPALIVE_S = 1
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@frozen
+class AnswerHead:
+    """Hold an answer's status and headers; header names are in lower case."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first value of a header."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return None
+
+
+@define(eq=False)
+class DirectExchange:
+    """Own one connection that carries one request.
+
+    A connection is never used again, so no late or extra answer can meet another request.
+    """
+
+    address: str
+    deadline_s: float
+    has_sent: bool = False
+    was_reset: bool = False
+    _sock: socket.socket | None = None
+    _http: h11.Connection = field(
+        factory=lambda: h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    )
+
+    def connect(self) -> None:
+        """Connect; raises AttemptFailed, which here means that no byte left."""
+        address = parse_address(self.address)
+        sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        _set_options(sock)
+        sock.settimeout(max(0.001, min(CONNECT_TIMEOUT_S, self.deadline_s - now_s())))
+        try:
+            sock.connect((address.host, address.port))
+        except OSError as error:
+            sock.close()
+            raise AttemptFailed(AttemptEnd.CONNECT_FAILED, str(error)) from error
+        sock.settimeout(None)
+        self._sock = sock
+
+    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Send the whole request; raises AttemptFailed."""
+        request = h11.Request(method=method, target=target, headers=headers)
+        out = self._http.send(request)
+        if body:
+            out += self._http.send(h11.Data(data=body)) or b""
+        out += self._http.send(h11.EndOfMessage()) or b""
+        self.has_sent = True
+        with self._time_left():
+            try:
+                self._sock.sendall(out)
+            except OSError as error:
+                # The upstream may have answered and closed before it had read everything.
+                self.was_reset = True
+                if not self._has_answer():
+                    raise AttemptFailed(AttemptEnd.NO_ANSWER, str(error)) from error
+
+    def read_head(self) -> AnswerHead:
+        """Return the answer's head; raises AttemptFailed."""
+        while True:
+            event = self._next_event(AttemptEnd.NO_ANSWER)
+            if isinstance(event, h11.Response):
+                return AnswerHead(event.status_code, tuple(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise AttemptFailed(AttemptEnd.NO_ANSWER, "closed without an answer")
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the body as it comes; raises AttemptFailed when it is cut."""
+        while True:
+            event = self._next_event(AttemptEnd.ANSWER_CUT)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "closed within the answer")
+            yield bytes(event.data)
+
+    def read_whole(self) -> bytes:
+        """Return the whole body; raises AttemptFailed."""
+        body = bytearray()
+        for piece in self.pieces():
+            body += piece
+            if len(body) > MAX_WHOLE_ANSWER_BYTES:
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "answer is too large")
+        return bytes(body)
+
+    def close(self) -> None:
+        """Close the connection; an upstream drops the request when it sees that."""
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.close()
+            self._sock = None
+
+    def _next_event(self, end: AttemptEnd) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise AttemptFailed(end, f"no HTTP answer: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            with self._time_left():
+                try:
+                    got = self._sock.recv(READ_BYTES)
+                except OSError as error:
+                    self.was_reset = True
+                    raise AttemptFailed(end, str(error)) from error
+            self.was_reset = self.was_reset or not got
+            self._http.receive_data(got)
+
+    def _has_answer(self) -> bool:
+        with contextlib.suppress(OSError), eventlet.Timeout(CONNECT_TIMEOUT_S, False):
+            got = self._sock.recv(READ_BYTES)
+            self._http.receive_data(got)
+            return bool(got)
+        return False
+
+    def _time_left(self) -> eventlet.Timeout:
+        left_s = max(0.0, self.deadline_s - now_s())
+        return eventlet.Timeout(left_s, AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed"))
+
+
+def is_listening(address: str, timeout_s: float) -> bool:
+    """Say whether something accepts connections at an address."""
+    probe = DirectExchange(address, now_s() + timeout_s)
+    try:
+        probe.connect()
+    except AttemptFailed:
+        return False
+    probe.close()
+    return True
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
--- /dev/null
+++ b/daisystack/runtime/direct_requests.py
@@ -0,0 +1,368 @@
+"""Take callers' requests, send them straight to upstreams and answer with a verdict."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import logging
+import random
+from collections.abc import Callable
+
+import attrs
+from attrs import define, field
+
+from daisystack.backends import RequestDialect
+from daisystack.core.crash_hold import CrashHold, Suspicion
+from daisystack.core.direct_request import DirectRequest, RequestRefused
+from daisystack.core.mirror import Mirror
+from daisystack.core.placement import DirectUpstream, Placement, Refusal, Wish
+from daisystack.core.requests import (
+    AttemptOutcome,
+    Done,
+    GiveUp,
+    RequestState,
+)
+from daisystack.core.retries import WindowedBudget
+from daisystack.core.traffic import Route, TrafficPolicy, Workspace
+from daisystack.core.verdicts import AttemptEnd, Verdict
+from daisystack.runtime.caller_http import CallerGone, InboundRequest, Responder
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.direct_attempt import Attempt, DirectAttempt
+from daisystack.runtime.direct_http import is_listening
+from daisystack.runtime.events import AttemptEnded, DirectRequestEnded
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.published import PublishedState
+
+__all__ = ["DirectRequests", "DirectSettings"]
+
+# A crashed upstream refuses connections at once; a live one in the farthest zone has answered.
+CRASH_PROBE_S = 0.1
+# The time by which an attempt is cut short so that the answer still reaches the caller in time.
+ANSWER_MARGIN_S = 0.02
+
+_logger = logging.getLogger("daisystack.requests")
+
+
+@attrs.frozen
+class DirectSettings:
+    """Hold the bounds that requests keep to."""
+
+    zone: str
+    max_key_age_s: float
+    version_roll_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+
+
+class _Answered(Exception):
+    """End a request with an answer of our own."""
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@define(eq=False)
+class _Story:
+    """Gather what the log line of a request says."""
+
+    inbound: InboundRequest
+    request_id: str = ""
+    workspace: str = ""
+    route: str = ""
+    service: str = ""
+    attempts: int = 0
+    upstream: str = ""
+    first_event_s: float = -1.0
+
+
+@define(eq=False)
+class DirectRequests:
+    """Own the requests in progress at one entry."""
+
+    settings: DirectSettings
+    dialect: RequestDialect
+    published: PublishedState
+    placement: Placement
+    mirror: Mirror
+    entries: Callable[[], int]
+    hold: CrashHold = field(factory=CrashHold)
+    outcomes: dict[tuple[str, int], int] = field(factory=dict)
+    on_ended: list[Callable[[DirectRequestEnded], None]] = field(factory=list)
+    _budgets: dict[str, WindowedBudget] = field(factory=dict)
+    _draw: random.Random = field(factory=random.SystemRandom)
+
+    def handle(self, inbound: InboundRequest, responder: Responder) -> None:
+        """Answer one request of a caller."""
+        story = _Story(inbound)
+        try:
+            self._run(inbound, responder, story)
+        except _Answered as answered:
+            self._answer(responder, story, answered)
+            self._log(story, "answered", answered.status, Verdict.NOT_RUN, answered.reason)
+        except CallerGone as gone:
+            verdict = Verdict.MAY_HAVE_RUN if story.attempts else Verdict.NOT_RUN
+            self._log(story, "caller_gone", 0, verdict, str(gone))
+            raise
+
+    def _run(self, inbound: InboundRequest, responder: Responder, story: _Story) -> None:
+        policy = self._policy()
+        request = self._read(inbound, story)
+        route = policy.find_route(request.host, request.path)
+        if route is None:
+            raise _Answered(404, "no route")
+        story.route = route.name
+        workspace = self._authorize(policy, route, request)
+        story.workspace = workspace.name if workspace else ""
+        service = route.choose_service(self._draw.random())
+        story.service = service
+        deadline_s = inbound.arrived_s + min(route.timeout_s, request.time_left_s)
+        state = RequestState(
+            route.is_repeatable,
+            deadline_s - ANSWER_MARGIN_S,
+            max_attempts=max(1, route.max_attempts),
+            has_owner=False,
+        )
+        self._budget(service).earn(now_s())
+        attempt = DirectAttempt(self.dialect, request, route, responder, state.deadline_s)
+        self._attempt_until_done(request, route, service, state, attempt, story)
+
+    def _attempt_until_done(
+        self,
+        request: DirectRequest,
+        route: Route,
+        service: str,
+        state: RequestState,
+        attempt: DirectAttempt,
+        story: _Story,
+    ) -> None:
+        while True:
+            try:
+                self._check_hold(request)
+                upstream = self._choose(request, route, service, state, attempt)
+                # Again at the moment a request leaves, since a pause may lie between.
+                workspace = self._authorize(self._policy(), route, request)
+            except _Answered as answered:
+                self._end_unsent(answered, state, attempt, story)
+                return
+            story.attempts += 1
+            story.upstream = upstream.id
+            outcome = self._attempt(request, route, attempt, upstream, workspace, story)
+            step = state.after(outcome, _Spend(self, service), now_s())
+            if isinstance(step, Done):
+                self._log(story, "served", attempt.status, Verdict.RAN, "")
+                return
+            if isinstance(step, GiveUp):
+                self._give_up(step, state, attempt, story)
+                return
+
+    def _policy(self) -> TrafficPolicy:
+        policy = self.published.policy
+        if policy is None:
+            raise _Answered(503, "no configuration is known yet", 1.0)
+        return policy
+
+    def _read(self, inbound: InboundRequest, story: _Story) -> DirectRequest:
+        try:
+            request = self.dialect.read_request(
+                inbound.method, inbound.target, inbound.headers, inbound.body, inbound.arrived_s
+            )
+        except RequestRefused as error:
+            raise _Answered(400, str(error)) from error
+        story.request_id = request.id
+        return request
+
+    def _authorize(
+        self, policy: TrafficPolicy, route: Route, request: DirectRequest
+    ) -> Workspace | None:
+        if route.is_public or not policy.workspaces:
+            return None
+        workspace = policy.find_workspace(request.api_key or "")
+        if workspace is None:
+            raise _Answered(401, "no workspace holds this key")
+        age_s = self.mirror.age_s(now_s())
+        if age_s > self.settings.max_key_age_s:
+            raise _Answered(503, f"keys were confirmed {age_s:.1f} s ago", 1.0)
+        return workspace
+
+    def _check_hold(self, request: DirectRequest) -> None:
+        if self.hold.judge(_fingerprint(request), now_s()) is Suspicion.HELD:
+            raise _Answered(502, "it crashed the upstreams that ran it")
+
+    def _choose(
+        self,
+        request: DirectRequest,
+        route: Route,
+        service: str,
+        state: RequestState,
+        attempt: DirectAttempt,
+    ) -> DirectUpstream:
+        at_s = now_s()
+        if at_s >= state.deadline_s:
+            raise _Answered(503, "deadline has passed")
+        min_version = 0
+        if request.prompt is not None:
+            roll_s = self.settings.version_roll_s
+            min_version = self.published.targets.min_version(request.prompt.model, roll_s, at_s)
+        wish = Wish(service, self.settings.zone, attempt.exact_version, min_version, state.tried())
+        chosen = self.placement.choose(wish, at_s)
+        if isinstance(chosen, Refusal):
+            raise _Answered(503, chosen.reason, self._retry_after_s(chosen))
+        return chosen
+
+    def _attempt(
+        self,
+        request: DirectRequest,
+        route: Route,
+        attempt: DirectAttempt,
+        upstream: DirectUpstream,
+        workspace: Workspace | None,
+        story: _Story,
+    ) -> AttemptOutcome:
+        begun_s = now_s()
+        in_flight = self.placement.in_flight(upstream.id, begun_s)
+        version = self.placement.version_of(upstream, begun_s)
+        self.placement.begin(upstream.id)
+        try:
+            ended = attempt.run(upstream, workspace, self._rank(workspace, route))
+        finally:
+            self.placement.end(upstream.id)
+        if story.first_event_s < 0 and attempt.first_event_s is not None:
+            story.first_event_s = attempt.first_event_s - story.inbound.arrived_s
+        self._learn(request, upstream, ended)
+        event = AttemptEnded(
+            request.id,
+            story.attempts,
+            upstream.id,
+            ended.end.value,
+            ended.reason,
+            ended.status,
+            in_flight,
+            version,
+            now_s() - begun_s,
+        )
+        if ended.end is not AttemptEnd.ANSWERED:
+            log_event(_logger, event)
+        return AttemptOutcome(ended.end, upstream.id, reason=ended.reason)
+
+    def _rank(self, workspace: Workspace | None, route: Route) -> int:
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return route.priority
+
+    def _learn(self, request: DirectRequest, upstream: DirectUpstream, ended: Attempt) -> None:
+        at_s = now_s()
+        if ended.end is AttemptEnd.ANSWERED:
+            self.placement.succeeded(upstream.id, at_s)
+            return
+        if ended.end is AttemptEnd.CONNECT_FAILED:
+            self.placement.avoid(upstream.id, at_s)
+        if ended.end is not AttemptEnd.REFUSED_AT_GATE:
+            self.placement.failed(upstream.id, at_s)
+        if ended.was_reset and ended.end is not AttemptEnd.CONNECT_FAILED:
+            self._blame_if_dead(request, upstream)
+
+    def _blame_if_dead(self, request: DirectRequest, upstream: DirectUpstream) -> None:
+        if is_listening(upstream.address, CRASH_PROBE_S):
+            return
+        self.placement.avoid(upstream.id, now_s())
+        self.hold.died(_fingerprint(request), now_s())
+
+    def _end_unsent(
+        self, answered: _Answered, state: RequestState, attempt: DirectAttempt, story: _Story
+    ) -> None:
+        """End a request that is not sent to another upstream any more."""
+        if attempt.has_begun:
+            self._break_off(attempt, story, answered.reason)
+        elif attempt.kept_failure is not None:
+            self._pass_failure_on(attempt, story)
+        elif state.verdict is Verdict.NOT_RUN:
+            raise answered
+        else:
+            status = 504 if now_s() >= state.deadline_s else 502
+            self._fail(attempt, story, state.verdict, status, answered.reason)
+
+    def _give_up(
+        self, step: GiveUp, state: RequestState, attempt: DirectAttempt, story: _Story
+    ) -> None:
+        retry_after_s = self._retry_after_s(Refusal(step.reason, True))
+        self._end_unsent(_Answered(503, step.reason, retry_after_s), state, attempt, story)
+
+    def _retry_after_s(self, refusal: Refusal) -> float:
+        # Spread, so that those turned away together don't come back together.
+        return self._draw.uniform(0.3, 0.9) if refusal.is_full else 1.0
+
+    def _pass_failure_on(self, attempt: DirectAttempt, story: _Story) -> None:
+        attempt.pass_failure_on()
+        self._log(story, "failed_by_upstream", attempt.status, Verdict.RAN, "")
+
+    def _break_off(self, attempt: DirectAttempt, story: _Story, reason: str) -> None:
+        # The missing end of the body tells the caller that the answer is not whole.
+        self._log(story, "broken_off", attempt.status, Verdict.MAY_HAVE_RUN, reason)
+
+    def _fail(
+        self, attempt: DirectAttempt, story: _Story, verdict: Verdict, status: int, reason: str
+    ) -> None:
+        self._answer(attempt.responder, story, _Answered(status, reason))
+        self._log(story, "failed", status, verdict, reason)
+
+    def _answer(self, responder: Responder, story: _Story, answered: _Answered) -> None:
+        headers = self.dialect.echo(story.request_id)
+        headers.append((b"Content-Type", b"application/json"))
+        if answered.retry_after_s is not None:
+            headers.append((b"Retry-After", f"{answered.retry_after_s:.2f}".encode()))
+        body = json.dumps({"error": answered.reason}).encode() + b"\n"
+        responder.whole(answered.status, headers, body)
+
+    def _budget(self, service: str) -> WindowedBudget:
+        if service not in self._budgets:
+            settings = self.settings
+            self._budgets[service] = WindowedBudget(
+                settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+            )
+        return self._budgets[service]
+
+    def _log(self, story: _Story, outcome: str, status: int, verdict: Verdict, reason: str) -> None:
+        key = (outcome, status)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        at_s = now_s()
+        event = DirectRequestEnded(
+            story.request_id,
+            story.workspace,
+            story.route,
+            story.service,
+            outcome,
+            status,
+            verdict.value,
+            reason,
+            story.attempts,
+            story.upstream,
+            self.published.policy.version if self.published.policy else 0,
+            self.mirror.age_s(at_s),
+            story.first_event_s,
+            at_s - story.inbound.arrived_s,
+        )
+        for listener in self.on_ended:
+            listener(event)
+        log_event(_logger, event)
+
+
+@define
+class _Spend:
+    """Spend the retries of one service."""
+
+    requests: DirectRequests
+    service: str
+
+    def take(self) -> bool:
+        """Spend one retry if the budget has it."""
+        budget = self.requests._budget(self.service)
+        return budget.take(self.requests.entries(), now_s())
+
+
+def _fingerprint(request: DirectRequest) -> str:
+    named = f"{request.api_key}/{request.host}/{request.target}\x00".encode()
+    return hashlib.blake2b(named + request.body, digest_size=12).hexdigest()
--- a/daisystack/runtime/logs.py
+++ b/daisystack/runtime/logs.py
@@ -30,13 +30,13 @@
 
 
 def set_up_logging(who: str) -> None:
-    """Send events to standard error, each line naming the instance."""
+    """Send events to standard output, each line naming the instance."""
     formatter = KeyValueFormatter(
         ["asctime", "levelname", "name", "message"],
         rename_fields={"asctime": "at", "levelname": "level", "name": "stream", "message": "event"},
         static_fields={"who": who},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/daisystack/runtime/mesh_handler.py
@@ -0,0 +1,48 @@
+"""Answer other processes of the mesh."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.piece_task import PieceTask
+from daisystack.wire import mesh
+from daisystack.wire.gen import ttypes
+
+__all__ = ["MeshHandler"]
+
+MS_PER_S = 1000
+# Longer than a piece is ever worth waiting for.
+MAX_WAIT_S = 5.0
+
+
+@define(eq=False)
+class MeshHandler:
+    """Answer with what this process knows."""
+
+    task: MeshTask
+    pieces: PieceTask
+
+    def gossip(self, mine: ttypes.MeshNews) -> ttypes.MeshNews:
+        """Take a peer's news and return the own."""
+        answer = self.task.news(now_s())
+        self.task.take_news(mine, None)
+        return answer
+
+    def mirror(self, prefix: str, after_revision: int) -> ttypes.MirrorDelta:
+        """Return what a mirror holds beyond a revision."""
+        for mirror in self.task.mirrors:
+            if mirror.prefix == prefix:
+                return mesh.delta_to_wire(mirror.delta_after(after_revision, now_s()))
+        return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [])
+
+    def digests(self, model: str, version: int) -> list[str]:
+        """Return the digests of a version."""
+        return self.pieces.digests(model, version)
+
+    def piece(self, ask: ttypes.PieceAsk) -> ttypes.Piece:
+        """Return a piece, waiting for it as long as the peer does."""
+        wait_s = min(MAX_WAIT_S, ask.wait_ms / MS_PER_S)
+        body = self.pieces.piece(ask.model, ask.version, ask.index, wait_s)
+        return ttypes.Piece(body is not None, body or b"")
--- /dev/null
+++ b/daisystack/runtime/mesh_task.py
@@ -0,0 +1,222 @@
+"""Exchange news with a bounded number of other processes, without a list of them in advance."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+import attrs
+import eventlet
+from attrs import define, field
+
+from daisystack.core.engine_news import EngineBoard
+from daisystack.core.membership import Member, MemberRole, Membership
+from daisystack.core.mirror import Mirror
+from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import PeerHeard, PeerSilent
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.tasks import attempt, run_steps
+from daisystack.wire import mesh
+from daisystack.wire.gen import ttypes
+
+__all__ = ["MeshTask"]
+
+# Three rounds fit into the time after which a silent process is suspected.
+ROUND_S = 0.4
+# News must cross a zone of a dozen entries in about two rounds.
+NEAR_FANOUT = 3
+FAR_FANOUT = 1
+# A peer that does not answer within this is asked again in a later round.
+PEER_TIMEOUT_S = 0.7
+# A pause this long is the process's own and not its peers' silence.
+PAUSE_GAP_S = 1.2
+MS_PER_S = 1000
+
+_logger = logging.getLogger("daisystack.mesh")
+
+
+@define(eq=False)
+class MeshTask:
+    """Own the links to other processes, what is known of them, and the spreading of news."""
+
+    own: Member
+    seeds: tuple[str, ...]
+    mirrors: tuple[Mirror, ...]
+    on_changes: Callable[[Mirror, list], None]
+    own_counts: Callable[[], dict[str, int]] = dict
+    own_crashes: Callable[[float], tuple[tuple[str, int], ...]] = lambda at_s: ()
+    on_counts: Callable[[str, dict[str, int], float], None] = lambda who, counts, at_s: None
+    on_crashes: Callable[[str, tuple[tuple[str, int], ...], float], None] = (
+        lambda who, counts, at_s: None
+    )
+    engines: EngineBoard = field(factory=EngineBoard)
+    targets: Targets = field(factory=Targets)
+    on_target: Callable[[WeightTarget], None] = lambda target: None
+    membership: Membership = field(init=False)
+    exchanges: int = 0
+    _links: dict[str, PeerLink] = field(factory=dict)
+    _busy: set[str] = field(factory=set)
+    _reachable: dict[str, bool] = field(factory=dict)
+    _ticked_s: float = field(factory=now_s)
+
+    def __attrs_post_init__(self) -> None:
+        self.membership = Membership(self.own.id)
+
+    def start(self) -> None:
+        """Begin to exchange news."""
+        eventlet.spawn(run_steps, "mesh", self._round)
+
+    def set_own(self, is_ready: bool, is_leaving: bool) -> None:
+        """Say whether this process takes work, and tell the neighbours when that changes."""
+        changed = (self.own.is_ready, self.own.is_leaving) != (is_ready, is_leaving)
+        self.own = attrs.evolve(self.own, is_ready=is_ready, is_leaving=is_leaving)
+        if changed:
+            self.spread()
+
+    def spread(self) -> None:
+        """Exchange news with the neighbours now."""
+        self.own = attrs.evolve(self.own, beat=self.own.beat + 1)
+        for address in self._choose():
+            if address not in self._busy:
+                self._busy.add(address)
+                eventlet.spawn(self._exchange, address)
+
+    def live_entries(self, at_s: float) -> list[Member]:
+        """Return the other entries that are not suspected."""
+        self._notice_pause(at_s)
+        return self.membership.live(MemberRole.ENTRY, at_s)
+
+    def news(self, at_s: float) -> ttypes.MeshNews:
+        """Return what this process tells others."""
+        members = [mesh.member_to_wire(m, age_s) for m, age_s in self.membership.told(at_s)]
+        counts = [ttypes.InFlight(k, n) for k, n in self.own_counts().items()]
+        crashes = [ttypes.CrashCount(*pair) for pair in self.own_crashes(at_s)]
+        states = [
+            ttypes.MirrorState(m.prefix, m.complete_revision, _ms_or_never(m.age_s(at_s)))
+            for m in self.mirrors
+        ]
+        engines = [mesh.engine_to_wire(news, at_s) for news in self.engines.told(at_s)]
+        targets = [
+            ttypes.TargetNews(t.model, t.version, _ms_or_never(self.targets.age_s(t.model, at_s)))
+            for t in self.targets.all()
+        ]
+        sender = mesh.member_to_wire(self.own, 0.0)
+        return ttypes.MeshNews(sender, members, states, counts, engines, crashes, targets)
+
+    def take_news(self, news: ttypes.MeshNews, asked_s: float | None) -> None:
+        """Take another's news; asked_s is set when it answers a question of ours.
+
+        News that was sent unasked may have been under way for any time, so its ages prove nothing
+        about the mirrors.
+        """
+        at_s = now_s()
+        try:
+            heard = [mesh.member_from_wire(wire) for wire in (news.sender, *news.members)]
+        except ValueError as error:
+            log_event(_logger, PeerSilent(news.sender.peer_address, f"news not read: {error}"))
+            return
+        for member, age_s in heard:
+            self.membership.heard(member, age_s, at_s)
+        for wire in news.engines:
+            self.engines.heard(mesh.engine_from_wire(wire, at_s))
+        sender = news.sender
+        if sender.role == MemberRole.ENTRY.value:
+            self.on_counts(sender.id, {c.upstream_id: c.requests for c in news.in_flight}, at_s)
+        if news.crash_counts:
+            told = tuple((c.fingerprint, c.deaths) for c in news.crash_counts)
+            self.on_crashes(sender.id, told, at_s)
+        for told in news.targets:
+            learned_s = LONG_AGO_S if told.age_ms < 0 else at_s - told.age_ms / MS_PER_S
+            target = WeightTarget(told.model, told.version)
+            if self.targets.take(target, learned_s):
+                self.on_target(target)
+        self._compare_mirrors(news, asked_s)
+
+    def _compare_mirrors(self, news: ttypes.MeshNews, asked_s: float | None) -> None:
+        by_prefix = {mirror.prefix: mirror for mirror in self.mirrors}
+        for state in news.mirrors:
+            mirror = by_prefix.get(state.prefix)
+            if mirror is None:
+                continue
+            if state.complete_revision > mirror.complete_revision:
+                eventlet.spawn(self._pull, mirror, news.sender.peer_address)
+            elif asked_s is not None and state.age_ms >= 0:
+                age_s = state.age_ms / MS_PER_S
+                mirror.take_confirmation(state.complete_revision, age_s, asked_s)
+
+    def _pull(self, mirror: Mirror, address: str) -> None:
+        link = PeerLink(address, PEER_TIMEOUT_S)
+        asked_s = now_s()
+        try:
+            wire = link.call("mirror", mirror.prefix, mirror.complete_revision)
+        except PeerError as error:
+            log_event(_logger, PeerSilent(address, str(error)))
+            return
+        finally:
+            link.close()
+        changes = mirror.take_delta(mesh.delta_from_wire(wire), asked_s)
+        if changes:
+            self.on_changes(mirror, changes)
+            self.spread()
+
+    def _round(self) -> None:
+        eventlet.sleep(ROUND_S * random.uniform(0.85, 1.15))
+        self._notice_pause(now_s())
+        self.spread()
+
+    def _choose(self) -> list[str]:
+        entries = self.membership.members(MemberRole.ENTRY)
+        near = [m.peer_address for m in entries if m.zone == self.own.zone]
+        far = [m.peer_address for m in entries if m.zone != self.own.zone]
+        if self.own.role is MemberRole.AGENT:
+            # An agent's link is narrow, and one entry passes its news on to the others.
+            chosen = random.sample(near or far, min(1, len(near or far)))
+        else:
+            chosen = random.sample(near, min(NEAR_FANOUT, len(near)))
+            chosen += random.sample(far, min(FAR_FANOUT, len(far)))
+        known = {*near, *far, self.own.peer_address}
+        # A seed that was never heard may be the only way to the rest after a partition.
+        unheard = [seed for seed in self.seeds if seed not in known]
+        chosen += random.sample(unheard, min(1, len(unheard)))
+        return chosen
+
+    def _exchange(self, address: str) -> None:
+        link = self._links.setdefault(address, PeerLink(address, PEER_TIMEOUT_S))
+        asked_s = now_s()
+        self.exchanges += 1
+        try:
+            answer = link.call("gossip", self.news(asked_s))
+        except PeerError as error:
+            self._note_silence(address, str(error))
+        else:
+            self._note_answer(address, now_s() - asked_s)
+            attempt("news", self.take_news, answer, asked_s)
+        finally:
+            self._busy.discard(address)
+
+    def _note_silence(self, address: str, error: str) -> None:
+        self._links.pop(address, None)
+        for member in self.membership.members(MemberRole.ENTRY):
+            if member.peer_address == address:
+                self.membership.silent(member.id)
+        if self._reachable.get(address, True):
+            log_event(_logger, PeerSilent(address, error))
+        self._reachable[address] = False
+
+    def _note_answer(self, address: str, took_s: float) -> None:
+        if not self._reachable.get(address, False):
+            log_event(_logger, PeerHeard(address, took_s))
+        self._reachable[address] = True
+
+    def _notice_pause(self, at_s: float) -> None:
+        gap_s = at_s - self._ticked_s
+        self._ticked_s = at_s
+        if gap_s > PAUSE_GAP_S:
+            self.membership.paused(gap_s)
+
+
+def _ms_or_never(age_s: float) -> int:
+    return -1 if age_s == float("inf") else mesh.age_to_ms(age_s)
--- /dev/null
+++ b/daisystack/runtime/piece_task.py
@@ -0,0 +1,224 @@
+"""Hold an entry's share of the weights for the agents of its zone."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import eventlet
+from attrs import define, field
+from eventlet.semaphore import Semaphore
+
+from daisystack.backends import BackendError, WeightOrigin
+from daisystack.core.membership import Member
+from daisystack.core.targets import Targets, WeightTarget
+from daisystack.core.weight_pieces import HolderPlan, PieceCache, PieceList, sorted_zones
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import ChunkRejected, WeightsHeld, WeightSourceFailed
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.wire.gen import ttypes
+
+__all__ = ["PieceTask", "pull_piece"]
+
+MS_PER_S = 1000
+
+# Connections of one entry to the origin, of the few dozen that it accepts in all.
+ORIGIN_LANES = 3
+# A piece takes some 30 ms on the origin's link; behind all others it takes two seconds.
+PEER_WAIT_S = 2.5
+PEER_TIMEOUT_S = 3.0
+RETRY_S = 0.2
+POLL_S = 0.02
+# Wrong bytes in a row for one piece after which its digest is doubted as well.
+MAX_REJECTED = 2
+
+_logger = logging.getLogger("daisystack.pieces")
+
+
+@define(eq=False)
+class PieceTask:
+    """Own the pieces held here and the pulls that bring them."""
+
+    me: Callable[[], Member]
+    entries: Callable[[], list[Member]]
+    find_origin: Callable[[], tuple[WeightOrigin, str] | None]
+    targets: Targets
+    cache: PieceCache = field(factory=PieceCache)
+    origin_bytes: int = 0
+    origin_calls: int = 0
+    peer_bytes: int = 0
+    _pulling: set[tuple[str, int, int]] = field(factory=set)
+    _listing: set[tuple[str, int]] = field(factory=set)
+    _origin_lanes: Semaphore = field(factory=lambda: Semaphore(ORIGIN_LANES))
+
+    def wanted(self, target: WeightTarget) -> None:
+        """Bring the own share of a version before agents ask for it."""
+        eventlet.spawn(self._bring_share, target)
+
+    def digests(self, model: str, version: int) -> list[str]:
+        """Return the digests of a version, empty when they are not known yet."""
+        pieces = self.cache.lists.get((model, version))
+        if pieces is None:
+            self._list_soon(model, version)
+            return []
+        return list(pieces.digests)
+
+    def piece(self, model: str, version: int, index: int, wait_s: float) -> bytes | None:
+        """Return a piece, waiting for it; None when it did not come."""
+        until_s = now_s() + wait_s
+        while True:
+            pieces = self.cache.lists.get((model, version))
+            if pieces is None:
+                self._list_soon(model, version)
+            elif not 0 <= index < len(pieces.digests):
+                return None
+            else:
+                body = self.cache.get(pieces.digests[index])
+                if body is not None:
+                    return body
+                self._pull_soon(pieces, index)
+            if now_s() >= until_s:
+                return None
+            eventlet.sleep(POLL_S)
+
+    def _bring_share(self, target: WeightTarget) -> None:
+        begun_s = now_s()
+        pieces = self._list(target.model, target.version)
+        if pieces is None:
+            return
+        me = self.me()
+        own = self._plan().held_by(me.id, me.zone, len(pieces.digests))
+        for index in own:
+            self._pull_soon(pieces, index)
+        while not self._holds(pieces, own):
+            if self.targets.version(target.model) != target.version:
+                return
+            eventlet.sleep(POLL_S)
+        took_s = now_s() - begun_s
+        log_event(_logger, WeightsHeld(target.model, target.version, len(own), took_s))
+
+    def _holds(self, pieces: PieceList, indexes: list[int]) -> bool:
+        return all(self.cache.get(pieces.digests[index]) is not None for index in indexes)
+
+    def _list_soon(self, model: str, version: int) -> None:
+        if (model, version) not in self._listing:
+            eventlet.spawn(self._list, model, version)
+
+    def _list(self, model: str, version: int) -> PieceList | None:
+        key = (model, version)
+        self._listing.add(key)
+        try:
+            while key not in self.cache.lists:
+                pieces = self._list_from_peer(model, version) or self._list_from_origin(*key)
+                if pieces is not None:
+                    self.cache.add_list(pieces)
+                elif version < self.targets.version(model):
+                    return None
+                else:
+                    eventlet.sleep(RETRY_S)
+            return self.cache.lists[key]
+        finally:
+            self._listing.discard(key)
+
+    def _list_from_peer(self, model: str, version: int) -> PieceList | None:
+        fetcher = self._member(self._plan().fetcher(0))
+        if fetcher is None:
+            return None
+        link = PeerLink(fetcher.peer_address, PEER_TIMEOUT_S)
+        until_s = now_s() + PEER_WAIT_S
+        try:
+            while now_s() < until_s:
+                digests = link.call("digests", model, version)
+                if digests:
+                    return PieceList(model, version, tuple(digests))
+                eventlet.sleep(POLL_S)
+        except (PeerError, ValueError) as error:
+            log_event(_logger, WeightSourceFailed(fetcher.id, str(error)))
+        finally:
+            link.close()
+        return None
+
+    def _list_from_origin(self, model: str, version: int) -> PieceList | None:
+        found = self.find_origin()
+        if found is None:
+            return None
+        self.origin_calls += 1
+        try:
+            return found[0].piece_list(model, version)
+        except BackendError as error:
+            log_event(_logger, WeightSourceFailed("origin", str(error)))
+            return None
+
+    def _pull_soon(self, pieces: PieceList, index: int) -> None:
+        key = (pieces.model, pieces.version, index)
+        if key not in self._pulling:
+            self._pulling.add(key)
+            eventlet.spawn(self._pull, pieces, index)
+
+    def _pull(self, pieces: PieceList, index: int) -> None:
+        try:
+            if self._pull_from_peer(pieces, index):
+                return
+            rejected = 0
+            while rejected < MAX_REJECTED:
+                body = self._from_origin(pieces, index)
+                if body is None:
+                    eventlet.sleep(RETRY_S)
+                    return
+                if self.cache.put(pieces, index, body):
+                    return
+                rejected += 1
+                log_event(_logger, ChunkRejected("origin", f"piece {index}: digest does not match"))
+            # The list itself may have come corrupted.
+            self.cache.drop_list(pieces.model, pieces.version)
+        finally:
+            self._pulling.discard((pieces.model, pieces.version, index))
+
+    def _pull_from_peer(self, pieces: PieceList, index: int) -> bool:
+        source = self._member(self._plan().fetcher(index))
+        if source is None:
+            return False
+        link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
+        try:
+            body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
+        except PeerError as error:
+            log_event(_logger, WeightSourceFailed(source.id, str(error)))
+            return False
+        finally:
+            link.close()
+        self.peer_bytes += len(body or b"")
+        if body is not None and not self.cache.put(pieces, index, body):
+            log_event(_logger, ChunkRejected(source.id, f"piece {index}: digest does not match"))
+            return False
+        return body is not None
+
+    def _from_origin(self, pieces: PieceList, index: int) -> bytes | None:
+        found = self.find_origin()
+        if found is None:
+            return None
+        with self._origin_lanes:
+            self.origin_calls += 1
+            try:
+                body = found[0].piece(pieces.model, pieces.version, index)
+            except BackendError as error:
+                log_event(_logger, WeightSourceFailed("origin", str(error)))
+                return None
+        self.origin_bytes += len(body)
+        return body
+
+    def _plan(self) -> HolderPlan:
+        found = self.find_origin()
+        members = [(m.id, m.zone) for m in (self.me(), *self.entries())]
+        return HolderPlan(found[1] if found else "", sorted_zones(members))
+
+    def _member(self, member_id: str | None) -> Member | None:
+        """Return another entry by its id."""
+        return next((m for m in self.entries() if m.id == member_id), None)
+
+
+def pull_piece(link: PeerLink, model: str, version: int, index: int, wait_s: float) -> bytes | None:
+    """Ask a peer for a piece, unverified; raises PeerError."""
+    ask = ttypes.PieceAsk(model, version, index, int(wait_s * MS_PER_S))
+    answer = link.call("piece", ask)
+    return answer.body if answer.held else None
--- /dev/null
+++ b/daisystack/runtime/published.py
@@ -0,0 +1,112 @@
+"""Hold what operators and upstreams have published, decoded."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+
+from attrs import define, field
+
+from daisystack.backends import PublicationReader, PublicationRefused
+from daisystack.core.mirror import Change, Mirror
+from daisystack.core.placement import DirectUpstream, Placement
+from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
+from daisystack.core.traffic import TrafficPolicy
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import (
+    PolicyTaken,
+    PublicationIgnored,
+    TargetTaken,
+    UpstreamChanged,
+    UpstreamGone,
+)
+from daisystack.runtime.logs import log_event
+
+__all__ = ["PublishedState"]
+
+_logger = logging.getLogger("daisystack.published")
+
+
+@define(eq=False)
+class PublishedState:
+    """Own the decoded policy, upstreams and targets, and tell who listens."""
+
+    reader: PublicationReader
+    placement: Placement
+    targets: Targets = field(factory=Targets)
+    policy: TrafficPolicy | None = None
+    on_policy: list[Callable[[TrafficPolicy], None]] = field(factory=list)
+    on_target: list[Callable[[WeightTarget], None]] = field(factory=list)
+    refused: int = 0
+    _has_read: set[str] = field(factory=set)
+
+    def take(self, mirror: Mirror, changes: Iterable[Change]) -> None:
+        """Take changes of a mirror."""
+        is_first_read = mirror.prefix not in self._has_read
+        self._has_read.add(mirror.prefix)
+        for change in changes:
+            self._take_one(change, is_first_read, mirror.age_s(now_s()))
+
+    def _take_one(self, change: Change, is_first_read: bool, age_s: float) -> None:
+        if change.value is None:
+            self._drop(change)
+            return
+        try:
+            publication = self.reader.read(change)
+        except PublicationRefused as error:
+            self.refused += 1
+            log_event(_logger, PublicationIgnored(change.key, change.revision, str(error)))
+            # An entry that can't be read names nothing to use.
+            self._drop(change)
+            return
+        if publication is not None:
+            self._apply(publication, change, is_first_read, age_s)
+
+    def _drop(self, change: Change) -> None:
+        upstream_id = self.reader.upstream_id(change.key)
+        if upstream_id is not None and self.placement.get(upstream_id) is not None:
+            self.placement.unlist(upstream_id)
+            log_event(_logger, UpstreamGone(upstream_id, change.revision))
+
+    @singledispatchmethod
+    def _apply(self, publication: object, change: Change, is_first: bool, age_s: float) -> None:
+        raise TypeError(f"got {type(publication).__name__}")
+
+    @_apply.register
+    def _(self, publication: TrafficPolicy, change: Change, is_first: bool, age_s: float) -> None:
+        before = self.policy.version if self.policy else 0
+        self.policy = publication
+        log_event(_logger, PolicyTaken(before, publication.version, change.revision, age_s))
+        for service in publication.services.values():
+            if service.engine is not None:
+                first = WeightTarget(service.engine.model, service.engine.first_version)
+                self._want(first, LONG_AGO_S, change.revision)
+        for listener in self.on_policy:
+            listener(publication)
+
+    @_apply.register
+    def _(self, publication: DirectUpstream, change: Change, is_first: bool, age_s: float) -> None:
+        known = self.placement.get(publication.id)
+        self.placement.list(publication)
+        if known != publication:
+            event = UpstreamChanged(
+                publication.id,
+                publication.service,
+                publication.address,
+                publication.is_ready,
+                publication.version,
+                change.revision,
+            )
+            log_event(_logger, event)
+
+    @_apply.register
+    def _(self, publication: WeightTarget, change: Change, is_first: bool, age_s: float) -> None:
+        self._want(publication, LONG_AGO_S if is_first else now_s(), change.revision)
+
+    def _want(self, target: WeightTarget, learned_s: float, revision: int) -> None:
+        if not self.targets.take(target, learned_s):
+            return
+        log_event(_logger, TargetTaken(target.model, target.version, revision))
+        for listener in self.on_target:
+            listener(target)
--- /dev/null
+++ b/daisystack/runtime/weight_agent.py
@@ -0,0 +1,266 @@
+"""Run the daemon beside an engine: fill it with the wanted weights and tell what it does."""
+
+from __future__ import annotations
+
+import logging
+
+import eventlet
+from attrs import define, field
+from eventlet.queue import Empty, Queue
+
+from daisystack.backends import BackendError, LocalEngine
+from daisystack.core.direct_settings import WeightAgentSettings
+from daisystack.core.engine_news import EngineNews
+from daisystack.core.membership import Member, MemberRole
+from daisystack.core.roll import RollPlan, order_time_s
+from daisystack.core.targets import WeightTarget
+from daisystack.core.weight_pieces import (
+    EngineState,
+    HolderPlan,
+    PieceList,
+    is_piece,
+    sorted_zones,
+)
+from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.events import (
+    ChunkRejected,
+    DependencyLost,
+    DependencyRegained,
+    OrderAnswered,
+    WeightSourceFailed,
+    WeightsStaged,
+)
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.piece_task import pull_piece
+from daisystack.runtime.stopping import wait_for_stop
+from daisystack.runtime.tasks import run_steps
+
+__all__ = ["WeightAgent"]
+
+WATCH_S = 0.2
+STEP_S = 0.1
+# Two keep the link full while one of them waits for its turn at an entry.
+PULL_LANES = 3
+PULL_WAIT_S = 2.0
+PULL_TIMEOUT_S = 4.0
+# A piece that is asked for in vain is asked of another entry after this.
+RETRY_S = 0.1
+# An engine that took an order reports it within this time.
+ORDER_SETTLE_S = 0.3
+
+_logger = logging.getLogger("daisystack.agent")
+
+
+@define(eq=False)
+class WeightAgent:
+    """Own the engine on this machine: its pieces, its orders and its reports."""
+
+    settings: WeightAgentSettings
+    engine: LocalEngine
+    mesh: MeshTask = field(init=False)
+    state: EngineState | None = None
+    pulled_bytes: int = 0
+    orders: int = 0
+    _verified: dict[int, str] = field(factory=dict)
+    _ready_s: float | None = None
+    _staged_for: tuple[str, int, int] | None = None
+    _is_lost: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        place = self.settings.place
+        own = Member(
+            place.id, new_incarnation(), MemberRole.AGENT, "", "", place.zone, place.region
+        )
+        self.mesh = MeshTask(own, place.seeds, (), lambda mirror, changes: None)
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self.mesh.start()
+        eventlet.spawn(run_steps, "engine watch", self._watch)
+        eventlet.spawn(run_steps, "engine fill", self._fill)
+
+    def run_until_stopped(self) -> None:
+        """Serve until asked to stop; nothing is in progress that another life can't repeat."""
+        wait_for_stop()
+
+    def _watch(self) -> None:
+        eventlet.sleep(WATCH_S)
+        at_s = now_s()
+        try:
+            state = self.engine.state()
+        except BackendError as error:
+            if not self._is_lost:
+                log_event(_logger, DependencyLost("engine", str(error), 0.0))
+            self._is_lost = True
+            self.state = None
+            return
+        if self._is_lost:
+            log_event(_logger, DependencyRegained("engine", 0.0))
+        self._is_lost = False
+        self.state = state
+        self._tell(state, at_s)
+
+    def _tell(self, state: EngineState, read_s: float) -> None:
+        news = EngineNews(
+            address=self.settings.engine_address,
+            born_ms=state.born_ms,
+            version=state.version,
+            is_whole=state.version > 0,
+            is_loading=state.is_busy,
+            running=state.running,
+            queued=state.queued,
+            read_s=read_s,
+        )
+        self.mesh.engines.heard(news)
+
+    def _fill(self) -> None:
+        eventlet.sleep(STEP_S)
+        target = self._target()
+        state = self.state
+        if target is None:
+            return
+        if state is not None and (state.version == target.version or state.is_busy):
+            return
+        pieces = self._list(target)
+        if pieces is None:
+            return
+        if state is None:
+            return
+        if not self._stage(pieces, state):
+            return
+        self._order_in_turn(pieces)
+
+    def _target(self) -> WeightTarget | None:
+        targets = self.mesh.targets.all()
+        model = self.state.model if self.state else ""
+        return next((t for t in targets if t.model == model), targets[0] if targets else None)
+
+    def _list(self, target: WeightTarget) -> PieceList | None:
+        for member in self._entries():
+            link = PeerLink(member.peer_address, PULL_TIMEOUT_S)
+            try:
+                digests = link.call("digests", target.model, target.version)
+                if digests:
+                    return PieceList(target.model, target.version, tuple(digests))
+            except (PeerError, ValueError) as error:
+                log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            finally:
+                link.close()
+        return None
+
+    def _entries(self) -> list[Member]:
+        """Return the live entries, those of the own zone first."""
+        entries = self.mesh.live_entries(now_s())
+        return sorted(entries, key=lambda m: (m.zone != self.settings.place.zone, m.id))
+
+    def _stage(self, pieces: PieceList, state: EngineState) -> bool:
+        """Bring every piece that does not lie there; False when it was in vain."""
+        begun_s = now_s()
+        key = (pieces.model, pieces.version, state.born_ms)
+        missing = self._missing(pieces)
+        if missing:
+            self._ready_s = None
+            self._pull_all(pieces, missing)
+            missing = self._missing(pieces)
+        if missing:
+            return False
+        if self._ready_s is None or self._staged_for != key:
+            self._ready_s = now_s()
+            self._staged_for = key
+            took_s = self._ready_s - begun_s
+            log_event(_logger, WeightsStaged(pieces.model, pieces.version, took_s))
+        return True
+
+    def _missing(self, pieces: PieceList) -> list[int]:
+        """Read back what is staged and return what is not as it should be."""
+        staged = self.engine.staged(pieces.model)
+        missing = []
+        for index in range(len(pieces.digests)):
+            body = self.engine.read_staged(pieces.model, index) if index in staged else None
+            if not is_piece(pieces, index, body):
+                missing.append(index)
+        return missing
+
+    def _pull_all(self, pieces: PieceList, missing: list[int]) -> None:
+        wanted: Queue = Queue()
+        for index in missing:
+            wanted.put(index)
+        lanes = [eventlet.spawn(self._pull_lane, pieces, wanted) for _ in range(PULL_LANES)]
+        for lane in lanes:
+            lane.wait()
+
+    def _pull_lane(self, pieces: PieceList, wanted: Queue) -> None:
+        links: dict[str, PeerLink] = {}
+        try:
+            while self._is_wanted(pieces):
+                index = wanted.get_nowait()
+                if not self._pull(pieces, index, links):
+                    wanted.put(index)
+                    eventlet.sleep(RETRY_S)
+        except Empty:
+            return
+        finally:
+            for link in links.values():
+                link.close()
+
+    def _is_wanted(self, pieces: PieceList) -> bool:
+        target = self._target()
+        return target is not None and target.version == pieces.version
+
+    def _pull(self, pieces: PieceList, index: int, links: dict[str, PeerLink]) -> bool:
+        member = self._holder(index)
+        if member is None:
+            return False
+        link = links.setdefault(member.id, PeerLink(member.peer_address, PULL_TIMEOUT_S))
+        try:
+            body = pull_piece(link, pieces.model, pieces.version, index, PULL_WAIT_S)
+        except PeerError as error:
+            log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            self.mesh.membership.silent(member.id)
+            return False
+        self.pulled_bytes += len(body or b"")
+        if body is None:
+            return False
+        if not is_piece(pieces, index, body):
+            log_event(_logger, ChunkRejected(member.id, f"piece {index}: digest does not match"))
+            return False
+        self.engine.stage(pieces.model, index, body)
+        return True
+
+    def _holder(self, index: int) -> Member | None:
+        entries = self._entries()
+        place = self.settings.place
+        plan = HolderPlan(place.zone, sorted_zones([(m.id, m.zone) for m in entries]))
+        holder = plan.fetcher(index)
+        return next((m for m in entries if m.id == holder), None)
+
+    def _order_in_turn(self, pieces: PieceList) -> None:
+        state = self.state
+        at_s = now_s()
+        if state is None or state.is_busy or state.version == pieces.version:
+            return
+        if state.version > 0 and at_s < self._turn_s(pieces):
+            return
+        # Pieces rot where they lie, so they are read once more just before they are taken.
+        if self._missing(pieces) or not self._is_wanted(pieces):
+            return
+        self.orders += 1
+        try:
+            answer = self.engine.start(pieces.model, pieces.version, state.order_count)
+            said = answer.reason
+        except BackendError as error:
+            said = f"no answer: {error}"
+        before = state.version
+        log_event(
+            _logger, OrderAnswered(pieces.model, before, pieces.version, said, now_s() - at_s)
+        )
+        eventlet.sleep(ORDER_SETTLE_S)
+
+    def _turn_s(self, pieces: PieceList) -> float:
+        at_s = now_s()
+        engines = [news.address for news in self.mesh.engines.told(at_s)]
+        plan = RollPlan(self.settings.engine_address, engines, self.settings.version_bound_s)
+        learned_s = at_s - self.mesh.targets.age_s(pieces.model, at_s)
+        return order_time_s(plan, learned_s, self._ready_s)
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -19,6 +19,40 @@
 
 
 class Iface(object):
+    def gossip(self, mine):
+        """
+        Parameters:
+         - mine
+
+        """
+        pass
+
+    def mirror(self, prefix, after_revision):
+        """
+        Parameters:
+         - prefix
+         - after_revision
+
+        """
+        pass
+
+    def digests(self, model, version):
+        """
+        Parameters:
+         - model
+         - version
+
+        """
+        pass
+
+    def piece(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        pass
+
     def exchange(self, mine):
         """
         Parameters:
@@ -67,6 +101,138 @@
             self._oprot = oprot
         self._seqid = 0
 
+    def gossip(self, mine):
+        """
+        Parameters:
+         - mine
+
+        """
+        self.send_gossip(mine)
+        return self.recv_gossip()
+
+    def send_gossip(self, mine):
+        self._oprot.writeMessageBegin('gossip', TMessageType.CALL, self._seqid)
+        args = gossip_args()
+        args.mine = mine
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_gossip(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = gossip_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "gossip failed: unknown result")
+
+    def mirror(self, prefix, after_revision):
+        """
+        Parameters:
+         - prefix
+         - after_revision
+
+        """
+        self.send_mirror(prefix, after_revision)
+        return self.recv_mirror()
+
+    def send_mirror(self, prefix, after_revision):
+        self._oprot.writeMessageBegin('mirror', TMessageType.CALL, self._seqid)
+        args = mirror_args()
+        args.prefix = prefix
+        args.after_revision = after_revision
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_mirror(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = mirror_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "mirror failed: unknown result")
+
+    def digests(self, model, version):
+        """
+        Parameters:
+         - model
+         - version
+
+        """
+        self.send_digests(model, version)
+        return self.recv_digests()
+
+    def send_digests(self, model, version):
+        self._oprot.writeMessageBegin('digests', TMessageType.CALL, self._seqid)
+        args = digests_args()
+        args.model = model
+        args.version = version
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_digests(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = digests_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "digests failed: unknown result")
+
+    def piece(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        self.send_piece(ask)
+        return self.recv_piece()
+
+    def send_piece(self, ask):
+        self._oprot.writeMessageBegin('piece', TMessageType.CALL, self._seqid)
+        args = piece_args()
+        args.ask = ask
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_piece(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = piece_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "piece failed: unknown result")
+
     def exchange(self, mine):
         """
         Parameters:
@@ -232,6 +398,10 @@
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
+        self._processMap["gossip"] = Processor.process_gossip
+        self._processMap["mirror"] = Processor.process_mirror
+        self._processMap["digests"] = Processor.process_digests
+        self._processMap["piece"] = Processor.process_piece
         self._processMap["exchange"] = Processor.process_exchange
         self._processMap["document"] = Processor.process_document
         self._processMap["manifest"] = Processor.process_manifest
@@ -259,6 +429,98 @@
             self._processMap[name](self, seqid, iprot, oprot)
         return True
 
+    def process_gossip(self, seqid, iprot, oprot):
+        args = gossip_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = gossip_result()
+        try:
+            result.success = self._handler.gossip(args.mine)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("gossip", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_mirror(self, seqid, iprot, oprot):
+        args = mirror_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = mirror_result()
+        try:
+            result.success = self._handler.mirror(args.prefix, args.after_revision)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("mirror", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_digests(self, seqid, iprot, oprot):
+        args = digests_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = digests_result()
+        try:
+            result.success = self._handler.digests(args.model, args.version)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("digests", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_piece(self, seqid, iprot, oprot):
+        args = piece_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = piece_result()
+        try:
+            result.success = self._handler.piece(args.ask)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("piece", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_exchange(self, seqid, iprot, oprot):
         args = exchange_args()
         args.read(iprot)
@@ -377,6 +639,535 @@
 # HELPER FUNCTIONS AND STRUCTURES
 
 
+class gossip_args(object):
+    """
+    Attributes:
+     - mine
+
+    """
+
+
+    def __init__(self, mine=None,):
+        self.mine = mine
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.mine = MeshNews()
+                    self.mine.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('gossip_args')
+        if self.mine is not None:
+            oprot.writeFieldBegin('mine', TType.STRUCT, 1)
+            self.mine.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(gossip_args)
+gossip_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'mine', [MeshNews, None], None, ),  # 1
+)
+
+
+class gossip_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = MeshNews()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('gossip_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(gossip_result)
+gossip_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [MeshNews, None], None, ),  # 0
+)
+
+
+class mirror_args(object):
+    """
+    Attributes:
+     - prefix
+     - after_revision
+
+    """
+
+
+    def __init__(self, prefix=None, after_revision=None,):
+        self.prefix = prefix
+        self.after_revision = after_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('mirror_args')
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 1)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 2)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(mirror_args)
+mirror_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'after_revision', None, None, ),  # 2
+)
+
+
+class mirror_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = MirrorDelta()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('mirror_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(mirror_result)
+mirror_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [MirrorDelta, None], None, ),  # 0
+)
+
+
+class digests_args(object):
+    """
+    Attributes:
+     - model
+     - version
+
+    """
+
+
+    def __init__(self, model=None, version=None,):
+        self.model = model
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digests_args')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digests_args)
+digests_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
+
+
+class digests_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digests_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRING, len(self.success))
+            for iter69 in self.success:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digests_result)
+digests_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRING, 'UTF8', False), None, ),  # 0
+)
+
+
+class piece_args(object):
+    """
+    Attributes:
+     - ask
+
+    """
+
+
+    def __init__(self, ask=None,):
+        self.ask = ask
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = PieceAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('piece_args')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(piece_args)
+piece_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [PieceAsk, None], None, ),  # 1
+)
+
+
+class piece_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Piece()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('piece_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(piece_result)
+piece_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Piece, None], None, ),  # 0
+)
+
+
 class exchange_args(object):
     """
     Attributes:
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -730,6 +730,1058 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class MemberState(object):
+    """
+    Attributes:
+     - id
+     - incarnation
+     - role
+     - peer_address
+     - caller_address
+     - zone
+     - region
+     - ready
+     - leaving
+     - beat
+     - age_ms
+
+    """
+
+
+    def __init__(self, id=None, incarnation=None, role=None, peer_address=None, caller_address=None, zone=None, region=None, ready=None, leaving=None, beat=None, age_ms=None,):
+        self.id = id
+        self.incarnation = incarnation
+        self.role = role
+        self.peer_address = peer_address
+        self.caller_address = caller_address
+        self.zone = zone
+        self.region = region
+        self.ready = ready
+        self.leaving = leaving
+        self.beat = beat
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.role = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.peer_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.caller_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.beat = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberState')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.STRING, 3)
+            oprot.writeString(self.role.encode('utf-8') if sys.version_info[0] == 2 else self.role)
+            oprot.writeFieldEnd()
+        if self.peer_address is not None:
+            oprot.writeFieldBegin('peer_address', TType.STRING, 4)
+            oprot.writeString(self.peer_address.encode('utf-8') if sys.version_info[0] == 2 else self.peer_address)
+            oprot.writeFieldEnd()
+        if self.caller_address is not None:
+            oprot.writeFieldBegin('caller_address', TType.STRING, 5)
+            oprot.writeString(self.caller_address.encode('utf-8') if sys.version_info[0] == 2 else self.caller_address)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 6)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 7)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 8)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 9)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.I64, 10)
+            oprot.writeI64(self.beat)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 11)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class InFlight(object):
+    """
+    Attributes:
+     - upstream_id
+     - requests
+
+    """
+
+
+    def __init__(self, upstream_id=None, requests=None,):
+        self.upstream_id = upstream_id
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('InFlight')
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 1)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineNews(object):
+    """
+    Attributes:
+     - address
+     - born_ms
+     - version
+     - whole
+     - loading
+     - running
+     - queued
+     - age_ms
+
+    """
+
+
+    def __init__(self, address=None, born_ms=None, version=None, whole=None, loading=None, running=None, queued=None, age_ms=None,):
+        self.address = address
+        self.born_ms = born_ms
+        self.version = version
+        self.whole = whole
+        self.loading = loading
+        self.running = running
+        self.queued = queued
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.loading = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineNews')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 4)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.loading is not None:
+            oprot.writeFieldBegin('loading', TType.BOOL, 5)
+            oprot.writeBool(self.loading)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 6)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 7)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 8)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MirrorState(object):
+    """
+    Attributes:
+     - prefix
+     - complete_revision
+     - age_ms
+
+    """
+
+
+    def __init__(self, prefix=None, complete_revision=None, age_ms=None,):
+        self.prefix = prefix
+        self.complete_revision = complete_revision
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.complete_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MirrorState')
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 1)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.complete_revision is not None:
+            oprot.writeFieldBegin('complete_revision', TType.I64, 2)
+            oprot.writeI64(self.complete_revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetNews(object):
+    """
+    Attributes:
+     - model
+     - version
+     - age_ms
+
+    """
+
+
+    def __init__(self, model=None, version=None, age_ms=None,):
+        self.model = model
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNews')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MeshNews(object):
+    """
+    Attributes:
+     - sender
+     - members
+     - mirrors
+     - in_flight
+     - engines
+     - crash_counts
+     - targets
+
+    """
+
+
+    def __init__(self, sender=None, members=None, mirrors=None, in_flight=None, engines=None, crash_counts=None, targets=None,):
+        self.sender = sender
+        self.members = members
+        self.mirrors = mirrors
+        self.in_flight = in_flight
+        self.engines = engines
+        self.crash_counts = crash_counts
+        self.targets = targets
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = MemberState()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = MemberState()
+                        _elem19.read(iprot)
+                        self.members.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.mirrors = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = MirrorState()
+                        _elem25.read(iprot)
+                        self.mirrors.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.in_flight = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = InFlight()
+                        _elem31.read(iprot)
+                        self.in_flight.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = EngineNews()
+                        _elem37.read(iprot)
+                        self.engines.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.crash_counts = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = CrashCount()
+                        _elem43.read(iprot)
+                        self.crash_counts.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = TargetNews()
+                        _elem49.read(iprot)
+                        self.targets.append(_elem49)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MeshNews')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter50 in self.members:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.mirrors is not None:
+            oprot.writeFieldBegin('mirrors', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.mirrors))
+            for iter51 in self.mirrors:
+                iter51.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.in_flight))
+            for iter52 in self.in_flight:
+                iter52.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter53 in self.engines:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crash_counts is not None:
+            oprot.writeFieldBegin('crash_counts', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.crash_counts))
+            for iter54 in self.crash_counts:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.targets))
+            for iter55 in self.targets:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MirrorItem(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - deleted
+     - value
+
+    """
+
+
+    def __init__(self, key=None, revision=None, deleted=None, value=None,):
+        self.key = key
+        self.revision = revision
+        self.deleted = deleted
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.deleted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MirrorItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.deleted is not None:
+            oprot.writeFieldBegin('deleted', TType.BOOL, 3)
+            oprot.writeBool(self.deleted)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MirrorDelta(object):
+    """
+    Attributes:
+     - complete_revision
+     - age_ms
+     - whole
+     - items
+
+    """
+
+
+    def __init__(self, complete_revision=None, age_ms=None, whole=None, items=None,):
+        self.complete_revision = complete_revision
+        self.age_ms = age_ms
+        self.whole = whole
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.complete_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = MirrorItem()
+                        _elem61.read(iprot)
+                        self.items.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MirrorDelta')
+        if self.complete_revision is not None:
+            oprot.writeFieldBegin('complete_revision', TType.I64, 1)
+            oprot.writeI64(self.complete_revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 3)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter62 in self.items:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PieceAsk(object):
+    """
+    Attributes:
+     - model
+     - version
+     - index
+     - wait_ms
+
+    """
+
+
+    def __init__(self, model=None, version=None, index=None, wait_ms=None,):
+        self.model = model
+        self.version = version
+        self.index = index
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PieceAsk')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 3)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Piece(object):
+    """
+    Attributes:
+     - held
+     - body
+
+    """
+
+
+    def __init__(self, held=None, body=None,):
+        self.held = held
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Piece')
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 1)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 2)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Weights)
 Weights.thrift_spec = (
     None,  # 0
@@ -792,5 +1844,93 @@
     (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'crashed', None, None, ),  # 2
 )
+all_structs.append(MemberState)
+MemberState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'role', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'peer_address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'caller_address', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'zone', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'region', 'UTF8', None, ),  # 7
+    (8, TType.BOOL, 'ready', None, None, ),  # 8
+    (9, TType.BOOL, 'leaving', None, None, ),  # 9
+    (10, TType.I64, 'beat', None, None, ),  # 10
+    (11, TType.I32, 'age_ms', None, None, ),  # 11
+)
+all_structs.append(InFlight)
+InFlight.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'requests', None, None, ),  # 2
+)
+all_structs.append(EngineNews)
+EngineNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.BOOL, 'whole', None, None, ),  # 4
+    (5, TType.BOOL, 'loading', None, None, ),  # 5
+    (6, TType.I32, 'running', None, None, ),  # 6
+    (7, TType.I32, 'queued', None, None, ),  # 7
+    (8, TType.I32, 'age_ms', None, None, ),  # 8
+)
+all_structs.append(MirrorState)
+MirrorState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'complete_revision', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(TargetNews)
+TargetNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(MeshNews)
+MeshNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [MemberState, None], None, ),  # 1
+    (2, TType.LIST, 'members', (TType.STRUCT, [MemberState, None], False), None, ),  # 2
+    (3, TType.LIST, 'mirrors', (TType.STRUCT, [MirrorState, None], False), None, ),  # 3
+    (4, TType.LIST, 'in_flight', (TType.STRUCT, [InFlight, None], False), None, ),  # 4
+    (5, TType.LIST, 'engines', (TType.STRUCT, [EngineNews, None], False), None, ),  # 5
+    (6, TType.LIST, 'crash_counts', (TType.STRUCT, [CrashCount, None], False), None, ),  # 6
+    (7, TType.LIST, 'targets', (TType.STRUCT, [TargetNews, None], False), None, ),  # 7
+)
+all_structs.append(MirrorItem)
+MirrorItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.BOOL, 'deleted', None, None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+)
+all_structs.append(MirrorDelta)
+MirrorDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'complete_revision', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'whole', None, None, ),  # 3
+    (4, TType.LIST, 'items', (TType.STRUCT, [MirrorItem, None], False), None, ),  # 4
+)
+all_structs.append(PieceAsk)
+PieceAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'index', None, None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
+)
+all_structs.append(Piece)
+Piece.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'held', None, None, ),  # 1
+    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/daisystack/wire/mesh.py
@@ -0,0 +1,107 @@
+"""Convert the mesh's messages between thrift and the objects of core."""
+
+from __future__ import annotations
+
+from daisystack.core.engine_news import EngineNews
+from daisystack.core.membership import Member, MemberRole
+from daisystack.core.mirror import Change, Delta
+from daisystack.wire.gen import ttypes
+
+__all__ = [
+    "delta_from_wire",
+    "delta_to_wire",
+    "engine_from_wire",
+    "engine_to_wire",
+    "member_from_wire",
+    "member_to_wire",
+]
+
+MS_PER_S = 1000
+# Ages beyond this are all the same to the reader, and fit the wire's type.
+MAX_AGE_MS = 10**9
+
+
+def age_to_ms(age_s: float) -> int:
+    """Return an age in whole milliseconds, rounded up so that nothing looks fresher than it is."""
+    return min(MAX_AGE_MS, int(max(0.0, min(age_s, MAX_AGE_MS / MS_PER_S)) * MS_PER_S) + 1)
+
+
+def member_to_wire(member: Member, age_s: float) -> ttypes.MemberState:
+    """Return the thrift form of a member's word."""
+    return ttypes.MemberState(
+        id=member.id,
+        incarnation=member.incarnation,
+        role=member.role.value,
+        peer_address=member.peer_address,
+        caller_address=member.caller_address,
+        zone=member.zone,
+        region=member.region,
+        ready=member.is_ready,
+        leaving=member.is_leaving,
+        beat=member.beat,
+        age_ms=age_to_ms(age_s),
+    )
+
+
+def member_from_wire(wire: ttypes.MemberState) -> tuple[Member, float]:
+    """Return a member and the age of its word; raises ValueError for an unknown role."""
+    member = Member(
+        id=wire.id,
+        incarnation=wire.incarnation,
+        role=MemberRole(wire.role),
+        peer_address=wire.peer_address,
+        caller_address=wire.caller_address,
+        zone=wire.zone,
+        region=wire.region,
+        is_ready=wire.ready,
+        is_leaving=wire.leaving,
+        beat=wire.beat,
+    )
+    return member, wire.age_ms / MS_PER_S
+
+
+def engine_to_wire(news: EngineNews, now_s: float) -> ttypes.EngineNews:
+    """Return the thrift form of an engine's state."""
+    return ttypes.EngineNews(
+        address=news.address,
+        born_ms=news.born_ms,
+        version=news.version,
+        whole=news.is_whole,
+        loading=news.is_loading,
+        running=news.running,
+        queued=news.queued,
+        age_ms=age_to_ms(now_s - news.read_s),
+    )
+
+
+def engine_from_wire(wire: ttypes.EngineNews, now_s: float) -> EngineNews:
+    """Return an engine's state as read on the own clock."""
+    return EngineNews(
+        address=wire.address,
+        born_ms=wire.born_ms,
+        version=wire.version,
+        is_whole=wire.whole,
+        is_loading=wire.loading,
+        running=wire.running,
+        queued=wire.queued,
+        read_s=now_s - wire.age_ms / MS_PER_S,
+    )
+
+
+def delta_to_wire(delta: Delta) -> ttypes.MirrorDelta:
+    """Return the thrift form of a mirror's delta."""
+    items = [
+        ttypes.MirrorItem(change.key, change.revision, change.value is None, change.value or b"")
+        for change in delta.changes
+    ]
+    return ttypes.MirrorDelta(
+        delta.complete_revision, age_to_ms(delta.age_s), delta.is_whole, items
+    )
+
+
+def delta_from_wire(wire: ttypes.MirrorDelta) -> Delta:
+    """Return the delta that a thrift message holds."""
+    changes = tuple(
+        Change(item.key, item.revision, None if item.deleted else item.value) for item in wire.items
+    )
+    return Delta(changes, wire.complete_revision, wire.age_ms / MS_PER_S, wire.whole)
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -59,7 +59,95 @@
   2: bool crashed
 }
 
+struct MemberState {
+  1: string id
+  2: string incarnation
+  3: string role
+  4: string peer_address
+  5: string caller_address
+  6: string zone
+  7: string region
+  8: bool ready
+  9: bool leaving
+  10: i64 beat
+  // Since the member itself said this.
+  11: i32 age_ms
+}
+
+struct InFlight {
+  1: string upstream_id
+  2: i32 requests
+}
+
+struct EngineNews {
+  1: string address
+  2: i64 born_ms
+  3: i64 version
+  4: bool whole
+  5: bool loading
+  6: i32 running
+  7: i32 queued
+  8: i32 age_ms
+}
+
+// What a mirror of published keys holds; complete_revision 0 means nothing yet.
+struct MirrorState {
+  1: string prefix
+  2: i64 complete_revision
+  // Since the store confirmed that it holds nothing newer; -1 means never.
+  3: i32 age_ms
+}
+
+struct TargetNews {
+  1: string model
+  2: i64 version
+  // Since an entry learned that this version is wanted; -1 means at some time before it started.
+  3: i32 age_ms
+}
+
+struct MeshNews {
+  1: MemberState sender
+  2: list<MemberState> members
+  3: list<MirrorState> mirrors
+  4: list<InFlight> in_flight
+  5: list<EngineNews> engines
+  6: list<CrashCount> crash_counts
+  7: list<TargetNews> targets
+}
+
+struct MirrorItem {
+  1: string key
+  2: i64 revision
+  3: bool deleted
+  4: binary value
+}
+
+struct MirrorDelta {
+  1: i64 complete_revision
+  2: i32 age_ms
+  3: bool whole
+  4: list<MirrorItem> items
+}
+
+struct PieceAsk {
+  1: string model
+  2: i64 version
+  3: i32 index
+  4: i32 wait_ms
+}
+
+struct Piece {
+  // False when the piece did not come within the wait.
+  1: bool held
+  2: binary body
+}
+
 service Peer {
+  MeshNews gossip(1: MeshNews mine)
+  MirrorDelta mirror(1: string prefix, 2: i64 after_revision)
+  // The digests of a version in order, empty when they are not known.
+  list<string> digests(1: string model, 2: i64 version)
+  Piece piece(1: PieceAsk ask)
   Status exchange(1: Status mine)
   Document document(1: i64 after_revision)
   binary manifest(1: string manifest_digest)
