--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -100,6 +100,9 @@
     def read(self, prefix: str) -> Snapshot:
         """Return all keys under a prefix, linearizably; raises BackendError."""
 
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> tuple[Change, ...]:
+        """Wait for changes beyond a revision, which may be missed; raises BackendError."""
+
 
 Publication = TrafficPolicy | DirectUpstream | WeightTarget
 
--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -24,6 +24,8 @@
     place: Place
     caller_address: str
     peer_address: str
+    # Datagrams with the state of engines come here.
+    news_address: str
     ready_address: str
     directory_address: str
     metrics_address: str
@@ -45,6 +47,7 @@
     place: Place
     engine_address: str
     service: str
+    link_bytes_per_s: float
     metrics_address: str
     version_bound_s: float
     stop_grace_s: float
--- /dev/null
+++ b/daisystack/core/engine_model.py
@@ -0,0 +1,62 @@
+"""Predict when an engine produces the first event of a request, from its published figures."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from daisystack.core.traffic import EngineFigures
+
+__all__ = ["EngineLoad", "predict_first_event_s", "predict_hold_s", "predict_pass_s"]
+
+# Half a pass for the moment of arrival, and as much again for prompts of others read meanwhile.
+REST_OF_PASS = 1.0
+# The ways through the entry and to the engine and back, from runs on the users' bench.
+WAY_S = 0.015
+# Requests that other entries send before the engine's next report shows them.
+UNSEEN_REQUESTS = 2
+
+
+@frozen
+class EngineLoad:
+    """Hold what runs at an engine: requests that write or wait, and prompt tokens not read yet."""
+
+    slots: int
+    requests: int
+    unread_tokens: int
+
+
+def predict_pass_s(figures: EngineFigures, load: EngineLoad) -> float:
+    """Return how long one pass takes, which gives each writing request one event."""
+    writing = min(load.requests, load.slots)
+    context_tokens = writing * figures.usual_prompt_tokens
+    step_s = figures.step_s + figures.step_per_sequence_s * writing
+    step_s += figures.step_per_context_token_s * context_tokens
+    return figures.steps_per_pass * step_s
+
+
+def predict_hold_s(
+    figures: EngineFigures, load: EngineLoad, answer_tokens: int | None = None
+) -> float:
+    """Return how long a request holds its place; a usual one where its length is not known."""
+    tokens = answer_tokens or figures.usual_answer_tokens
+    passes = max(1.0, tokens / figures.steps_per_pass)
+    return passes * predict_pass_s(figures, load)
+
+
+def predict_first_event_s(figures: EngineFigures, load: EngineLoad, prompt_tokens: int) -> float:
+    """Return the time from a request's arrival at an engine to its first event."""
+    pass_s = predict_pass_s(figures, load)
+    reading_s = _reading_s(figures, load.unread_tokens + prompt_tokens)
+    expected_s = WAY_S + REST_OF_PASS * pass_s + pass_s + reading_s
+    ahead = load.requests + UNSEEN_REQUESTS - load.slots
+    if ahead > 0:
+        # Places become free one after the other, at random moments of their requests.
+        expected_s += ahead * predict_hold_s(figures, load) / load.slots
+    return expected_s
+
+
+def _reading_s(figures: EngineFigures, tokens: int) -> float:
+    if figures.read_tokens_per_s <= 0:
+        return 0.0
+    pairs_s = figures.pair_s * tokens * figures.usual_prompt_tokens / 2
+    return tokens / figures.read_tokens_per_s + pairs_s
--- a/daisystack/core/engine_news.py
+++ b/daisystack/core/engine_news.py
@@ -22,6 +22,8 @@
     running: int
     queued: int
     read_s: float
+    # When it is expected to load other weights, on the own clock.
+    loads_at_s: float | None = None
 
 
 @define
--- a/daisystack/core/membership.py
+++ b/daisystack/core/membership.py
@@ -31,6 +31,8 @@
     role: MemberRole
     peer_address: str
     caller_address: str
+    # Where it takes datagrams, empty for a process that takes none.
+    news_address: str
     zone: str
     region: str
     is_ready: bool = False
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -7,9 +7,11 @@
 
 from attrs import define, field, frozen
 
-from daisystack.core.engine_news import EngineBoard
+from daisystack.core.engine_model import EngineLoad, predict_first_event_s, predict_hold_s
+from daisystack.core.engine_news import EngineBoard, EngineNews
+from daisystack.core.traffic import EngineFigures
 
-__all__ = ["DirectUpstream", "Placement", "Refusal", "Wish"]
+__all__ = ["DirectUpstream", "Placement", "Refusal", "Sent", "Wish"]
 
 # Other entries tell their counts every 0.4 s; older ones are of requests that have ended.
 COUNTS_LIFETIME_S = 2.5
@@ -21,12 +23,20 @@
 FAILURE_PENALTY = 6.0
 # Failures fade so that an upstream that has recovered is tried again.
 FAILURE_HALF_LIFE_S = 3.0
-# A longer way is worth as much as this many requests that already run nearby.
+# The way to another zone and back, and the price of the bytes on the links between them.
+FAR_S = 0.03
+# The same for plain upstreams, in requests that already run nearby.
 FAR_REQUESTS = 1.0
-# Requests that may queue at an engine per place, so that a freed place is never left empty.
-ENGINE_QUEUE_SHARE = 0.125
 # Plain work is short beside its objective, so a whole second round may queue.
 PLAIN_QUEUE_SHARE = 1.0
+# Requests that may queue at an engine per place, whatever is predicted.
+ENGINE_QUEUE_SHARE = 0.5
+# Predictions err by about this factor either way.
+OBJECTIVE_SLACK = 1.15
+# Each second that a request keeps an engine from loading is a second of its other places.
+OVERRUN_COST = 0.5
+# An engine's load is unknown when its agent has said nothing for this long.
+LOAD_LIFETIME_S = 0.6
 
 
 class Draw(Protocol):
@@ -63,6 +73,20 @@
     exact_version: int | None = None
     min_version: int = 0
     unwanted: frozenset[str] = frozenset()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    # Time left until the first event is late; None where lateness does not matter any more.
+    first_event_s: float | None = None
+
+
+@define(eq=False)
+class Sent:
+    """Hold one request that was sent to an upstream and has not ended."""
+
+    upstream_id: str
+    prompt_tokens: int
+    sent_s: float
+    is_read: bool = False
 
 
 @frozen
@@ -92,8 +116,10 @@
 
     draw: Draw
     engines: EngineBoard
+    figures: dict[str, EngineFigures] = field(factory=dict)
     _listed: dict[str, DirectUpstream] = field(factory=dict)
-    _own: dict[str, int] = field(factory=dict)
+    _own: dict[str, set[Sent]] = field(factory=dict)
+    _ended_s: dict[str, list[float]] = field(factory=dict)
     _told: dict[str, _Told] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
 
@@ -114,21 +140,25 @@
         """Return all upstreams."""
         return self._listed.values()
 
-    def begin(self, upstream_id: str) -> None:
+    def begin(self, upstream_id: str, prompt_tokens: int, now_s: float) -> Sent:
         """Count a request sent."""
-        self._own[upstream_id] = self._own.get(upstream_id, 0) + 1
+        sent = Sent(upstream_id, prompt_tokens, now_s)
+        self._own.setdefault(upstream_id, set()).add(sent)
+        return sent
 
-    def end(self, upstream_id: str) -> None:
+    def end(self, sent: Sent, now_s: float) -> None:
         """Count a request ended."""
-        left = self._own.get(upstream_id, 0) - 1
-        if left > 0:
-            self._own[upstream_id] = left
-        else:
-            self._own.pop(upstream_id, None)
+        own = self._own[sent.upstream_id]
+        own.discard(sent)
+        if not own:
+            del self._own[sent.upstream_id]
+        ended_s = self._ended_s.setdefault(sent.upstream_id, [])
+        ended_s.append(now_s)
+        self._ended_s[sent.upstream_id] = [t for t in ended_s if now_s - t <= LOAD_LIFETIME_S]
 
     def own_counts(self) -> dict[str, int]:
         """Return the own requests at each upstream, for other entries."""
-        return dict(self._own)
+        return {upstream_id: len(own) for upstream_id, own in self._own.items()}
 
     def heard_counts(self, entry_id: str, counts: dict[str, int], now_s: float) -> None:
         """Take another entry's counts."""
@@ -147,13 +177,49 @@
         self._health.setdefault(upstream_id, _Health()).avoid_until_s = now_s + AVOID_S
 
     def in_flight(self, upstream_id: str, now_s: float) -> int:
-        """Estimate an upstream's requests from the own ones and what others told."""
+        """Estimate an upstream's requests, by its agent's newest word if there is one."""
+        own = self._own.get(upstream_id, ())
+        news = self._load_news(upstream_id, now_s)
+        if news is not None:
+            since = sum(1 for sent in own if sent.sent_s > news.read_s)
+            ended = sum(1 for t in self._ended_s.get(upstream_id, ()) if t > news.read_s)
+            return max(len(own), news.running + news.queued + since - ended)
         others = sum(
             told.counts.get(upstream_id, 0)
             for told in self._told.values()
             if now_s - told.at_s <= COUNTS_LIFETIME_S
         )
-        return self._own.get(upstream_id, 0) + others
+        return len(own) + others
+
+    def predict_s(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> float | None:
+        """Predict the time to the first event, None for a plain upstream."""
+        figures = self.figures.get(upstream.service)
+        if figures is None:
+            return None
+        load = self._engine_load(upstream, figures, now_s)
+        return predict_first_event_s(figures, load, wish.prompt_tokens)
+
+    def _engine_load(
+        self, upstream: DirectUpstream, figures: EngineFigures, now_s: float
+    ) -> EngineLoad:
+        unread = [sent for sent in self._own.get(upstream.id, ()) if not sent.is_read]
+        tokens = sum(sent.prompt_tokens for sent in unread)
+        news = self._load_news(upstream.id, now_s)
+        if news is not None:
+            told = sum(1 for sent in unread if sent.sent_s <= news.read_s)
+            # What waits there and is not the own was sent by other entries.
+            tokens += max(0, news.queued - told) * figures.usual_prompt_tokens
+        requests = self.in_flight(upstream.id, now_s)
+        return EngineLoad(upstream.slots, requests, tokens)
+
+    def _load_news(self, upstream_id: str, now_s: float) -> EngineNews | None:
+        upstream = self._listed.get(upstream_id)
+        if upstream is None or not upstream.has_engine:
+            return None
+        news = self.engines.get(upstream.address, now_s)
+        if news is None or news.born_ms != upstream.born_ms:
+            return None
+        return news if now_s - news.read_s <= LOAD_LIFETIME_S else None
 
     def version_of(self, upstream: DirectUpstream, now_s: float) -> int:
         """Return the version an engine holds whole, by its agent's newer word if there is one."""
@@ -168,16 +234,11 @@
         if not able:
             return Refusal("no upstream is there for it", False)
         wanted = [u for u in able if not self._is_avoided(u, now_s)] or able
-        roomy = [u for u in wanted if self._has_room(u, now_s)]
+        roomy = [u for u in wanted if self._has_room(u, wish, now_s)]
         if not roomy:
             return Refusal(f"all {len(wanted)} upstreams are full", True)
         return min(roomy, key=lambda u: (self._cost(u, wish, now_s), self.draw.random()))
 
-    def free_places(self, wish: Wish, now_s: float) -> int:
-        """Return how many more requests the upstreams take now."""
-        able = [u for u in self._listed.values() if self._is_able(u, wish, now_s)]
-        return sum(max(0, _most_requests(u) - self.in_flight(u.id, now_s)) for u in able)
-
     def _is_able(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
         if upstream.service != wish.service or not upstream.is_ready:
             return False
@@ -193,14 +254,36 @@
             return version == wish.exact_version
         return version > 0 and version >= wish.min_version
 
-    def _has_room(self, upstream: DirectUpstream, now_s: float) -> bool:
-        return self.in_flight(upstream.id, now_s) < _most_requests(upstream)
+    def _has_room(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
+        if self.in_flight(upstream.id, now_s) >= _most_requests(upstream):
+            return False
+        expected_s = self.predict_s(upstream, wish, now_s)
+        if expected_s is None or wish.first_event_s is None:
+            return True
+        return expected_s <= wish.first_event_s * OBJECTIVE_SLACK
 
     def _cost(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> float:
-        requests = self.in_flight(upstream.id, now_s)
-        requests += 0.0 if upstream.zone == wish.zone else FAR_REQUESTS
+        is_far = upstream.zone != wish.zone
+        expected_s = self.predict_s(upstream, wish, now_s)
+        if expected_s is not None:
+            expected_s += FAR_S if is_far else 0.0
+            expected_s += OVERRUN_COST * self._overrun_s(upstream, wish, expected_s, now_s)
+            return expected_s * self._penalty(upstream.id, now_s)
+        requests = self.in_flight(upstream.id, now_s) + (FAR_REQUESTS if is_far else 0.0)
         return (requests + 1.0) / upstream.slots * self._penalty(upstream.id, now_s)
 
+    def _overrun_s(
+        self, upstream: DirectUpstream, wish: Wish, expected_s: float, now_s: float
+    ) -> float:
+        """Return for how long a request would keep an engine from loading other weights."""
+        news = self._load_news(upstream.id, now_s)
+        if news is None or news.loads_at_s is None:
+            return 0.0
+        figures = self.figures[upstream.service]
+        load = self._engine_load(upstream, figures, now_s)
+        hold_s = predict_hold_s(figures, load, wish.answer_tokens)
+        return max(0.0, now_s + expected_s + hold_s - news.loads_at_s)
+
     def _penalty(self, upstream_id: str, now_s: float) -> float:
         health = self._health.get(upstream_id)
         if health is None:
--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -27,8 +27,11 @@
 MAX_STALE_RANK = 40
 # Half of the two seconds in which a configuration is to be in force, less a round of news.
 FIRST_READER_S = 0.7
+# A read over a region link takes some 30 ms longer than one nearby, mostly for its bytes.
+FAR_READER_FACTOR = 15.0
+MAX_FAR_READER_S = 0.6
 # One round of news, so that a later rank reads only when the earlier ones brought nothing.
-READER_STEP_S = 0.45
+READER_STEP_S = 0.25
 MAX_READER_STEPS = 6
 
 
@@ -56,9 +59,14 @@
     return service_age_s > patience_s
 
 
-def reader_patience_s(rank: int) -> float:
-    """Return how old a mirror may grow before the process of this rank in its zone reads itself."""
-    return FIRST_READER_S + READER_STEP_S * min(rank, MAX_READER_STEPS)
+def reader_patience_s(rank: int, read_s: float) -> float:
+    """Return how old a mirror may grow before this process reads itself.
+
+    rank is the own place among the readers of the zone. read_s is how long the own reads take, so
+    that the zone nearest to the store reads for the others.
+    """
+    steps_s = READER_STEP_S * min(rank, MAX_READER_STEPS)
+    return FIRST_READER_S + steps_s + min(MAX_FAR_READER_S, FAR_READER_FACTOR * read_s)
 
 
 def agent_neighbours(document: SiteDocument, me: str) -> list[str]:
--- a/daisystack/core/roll.py
+++ b/daisystack/core/roll.py
@@ -10,8 +10,8 @@
 
 __all__ = ["RollPlan", "order_time_s"]
 
-# The last order leaves this long before the bound: the engine takes nothing new after it.
-LAST_ORDER_MARGIN_S = 1.0
+# Covers the age of the news of a version and the last reading of the pieces before the order.
+LAST_ORDER_MARGIN_S = 0.8
 # A first turn needs no wait, the last one waits until its time.
 EARLIEST_SHARE = 0.0
 
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -9,7 +9,7 @@
 from daisystack.backends import RequestDialect
 from daisystack.core.direct_request import DirectAnswer, DirectRequest
 from daisystack.core.event_stream import EventSplitter, StreamEvent
-from daisystack.core.placement import DirectUpstream
+from daisystack.core.placement import DirectUpstream, Sent
 from daisystack.core.traffic import RequestKind, Route, Workspace
 from daisystack.core.verdicts import AttemptEnd
 from daisystack.runtime.caller_http import Responder
@@ -51,6 +51,7 @@
     kept_failure: _KeptFailure | None = None
     exact_version: int | None = None
     first_event_s: float | None = None
+    _sent: Sent | None = None
     _last_id: bytes | None = None
     _last_number: int | None = None
 
@@ -60,9 +61,14 @@
         return self.responder.is_begun
 
     def run(
-        self, upstream: DirectUpstream, workspace: Workspace | None, rank: int | None
+        self,
+        upstream: DirectUpstream,
+        workspace: Workspace | None,
+        rank: int | None,
+        sent: Sent,
     ) -> Attempt:
         """Send the request to an upstream and pass its answer on."""
+        self._sent = sent
         exchange = DirectExchange(upstream.address, self.deadline_s)
         try:
             exchange.connect()
@@ -124,6 +130,7 @@
         if self.exact_version is not None and answer.version != self.exact_version:
             raise AttemptFailed(AttemptEnd.ANSWER_MIXED, "answer is of another version")
         for event in self._events(exchange):
+            self._sent.is_read = True
             if self._is_repeated(event):
                 continue
             self._begin_once(answer)
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import signal
 from collections.abc import Callable
 
 import eventlet
@@ -12,16 +11,18 @@
 from daisystack.backends import PublicationReader, PublishedStore, RequestDialect, WeightOrigin
 from daisystack.core.addresses import parse_address
 from daisystack.core.crash_hold import CrashHold
-from daisystack.core.direct_settings import DirectEntrySettings
+from daisystack.core.direct_settings import DirectEntrySettings, Place
 from daisystack.core.engine_news import EngineBoard
 from daisystack.core.membership import Member, MemberRole, usable_entries
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
 from daisystack.core.rendezvous import rank_members
+from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import CallerLimits
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
 from daisystack.runtime.direct_requests import DirectRequests, DirectSettings
+from daisystack.runtime.engine_datagrams import receive_engine_news
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.mirror_task import MirrorTask
@@ -37,7 +38,7 @@
 # A key must be confirmed this much sooner than the bound, for the time a request is under way.
 KEY_MARGIN_S = 0.6
 # Requests that queue at an upstream begin later than they are sent.
-VERSION_MARGIN_S = 1.2
+VERSION_MARGIN_S = 0.9
 # The share of the grace in which everything in progress must have ended.
 STOP_SHARE = 0.95
 
@@ -54,6 +55,7 @@
     dialect: RequestDialect
     make_origin: Callable[[str], WeightOrigin]
     is_leaving: bool = False
+    leaves_s: float | None = None
     mirrors: dict[str, Mirror] = field(init=False)
     placement: Placement = field(init=False)
     published: PublishedState = field(init=False)
@@ -113,8 +115,10 @@
     def start(self) -> None:
         """Listen and start the tasks; raises OSError when an address can't be bound."""
         serve_peers(parse_address(self.settings.peer_address), MeshHandler(self.mesh, self.pieces))
+        receive_engine_news(parse_address(self.settings.news_address), self.placement.engines)
         for task in self.tasks:
             task.start()
+        self.tasks[0].start_watch()
         self.mesh.start()
         self.server.start()
 
@@ -141,10 +145,13 @@
         usable = usable_entries(self.mesh.own, entries, zone, MIN_NEAR_ENTRIES)
         return [member.caller_address for member in usable]
 
+    def take_place(self, place: Place) -> None:
+        """Take changed settings; only the seeds can change while a process runs."""
+        self.mesh.seeds = place.seeds
+
     def run_until_stopped(self, on_hangup: Callable[[], None]) -> None:
         """Serve until asked to stop, then until nobody is sent here any more."""
-        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn(on_hangup))
-        wait_for_stop()
+        wait_for_stop(on_hangup)
         self.leave()
         asked_s = now_s()
         last_s = self.settings.stop_grace_s * STOP_SHARE
@@ -155,9 +162,16 @@
         while self.server.in_progress and now_s() - asked_s < last_s:
             eventlet.sleep(0.02)
 
+    def stop_times(self) -> StopTimes | None:
+        """Return when this entry was asked to stop and when it ends, None while it goes on."""
+        if self.leaves_s is None:
+            return None
+        return StopTimes(self.leaves_s, self.leaves_s + self.settings.stop_grace_s * STOP_SHARE)
+
     def leave(self) -> None:
         """Tell everybody that this entry takes no new callers."""
         self.is_leaving = True
+        self.leaves_s = now_s()
         self.mesh.set_own(False, True)
 
     def _own_member(self) -> Member:
@@ -168,6 +182,7 @@
             role=MemberRole.ENTRY,
             peer_address=settings.peer_address,
             caller_address=settings.caller_address,
+            news_address=settings.news_address,
             zone=settings.place.zone,
             region=settings.place.region,
         )
@@ -190,6 +205,7 @@
             self.mirrors[self.operator_prefix],
             self._count_entries,
             hold,
+            stop=self.stop_times,
         )
 
     def _count_entries(self) -> int:
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -23,6 +23,7 @@
     RequestState,
 )
 from daisystack.core.retries import WindowedBudget
+from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
 from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.caller_http import CallerGone, InboundRequest, Responder
@@ -37,6 +38,8 @@
 
 # A crashed upstream refuses connections at once; a live one in the farthest zone has answered.
 CRASH_PROBE_S = 0.1
+# Another entry serves at once.
+RETRY_NOW_S = 0.02
 # The time by which an attempt is cut short so that the answer still reaches the caller in time.
 ANSWER_MARGIN_S = 0.02
 
@@ -76,6 +79,9 @@
     service: str = ""
     attempts: int = 0
     upstream: str = ""
+    prompt_tokens: int = -1
+    in_flight: int = -1
+    predicted_s: float = -1.0
     first_event_s: float = -1.0
 
 
@@ -90,6 +96,7 @@
     mirror: Mirror
     entries: Callable[[], int]
     hold: CrashHold = field(factory=CrashHold)
+    stop: Callable[[], StopTimes | None] = lambda: None
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
     on_ended: list[Callable[[DirectRequestEnded], None]] = field(factory=list)
     _budgets: dict[str, WindowedBudget] = field(factory=dict)
@@ -117,6 +124,7 @@
         story.route = route.name
         workspace = self._authorize(policy, route, request)
         story.workspace = workspace.name if workspace else ""
+        self._check_stop(route, request)
         service = route.choose_service(self._draw.random())
         story.service = service
         deadline_s = inbound.arrived_s + min(route.timeout_s, request.time_left_s)
@@ -142,7 +150,7 @@
         while True:
             try:
                 self._check_hold(request)
-                upstream = self._choose(request, route, service, state, attempt)
+                upstream = self._choose(request, route, service, state, attempt, story)
                 # Again at the moment a request leaves, since a pause may lie between.
                 workspace = self._authorize(self._policy(), route, request)
             except _Answered as answered:
@@ -173,6 +181,8 @@
         except RequestRefused as error:
             raise _Answered(400, str(error)) from error
         story.request_id = request.id
+        if request.prompt is not None:
+            story.prompt_tokens = request.prompt.prompt_tokens
         return request
 
     def _authorize(
@@ -188,6 +198,12 @@
             raise _Answered(503, f"keys were confirmed {age_s:.1f} s ago", 1.0)
         return workspace
 
+    def _check_stop(self, route: Route, request: DirectRequest) -> None:
+        stop = self.stop()
+        longest_s = min(route.timeout_s, request.time_left_s)
+        if stop is not None and not stop.has_time_for(longest_s, now_s()):
+            raise _Answered(503, "this entry stops before the request could end", RETRY_NOW_S)
+
     def _check_hold(self, request: DirectRequest) -> None:
         if self.hold.judge(_fingerprint(request), now_s()) is Suspicion.HELD:
             raise _Answered(502, "it crashed the upstreams that ran it")
@@ -199,6 +215,7 @@
         service: str,
         state: RequestState,
         attempt: DirectAttempt,
+        story: _Story,
     ) -> DirectUpstream:
         at_s = now_s()
         if at_s >= state.deadline_s:
@@ -207,10 +224,25 @@
         if request.prompt is not None:
             roll_s = self.settings.version_roll_s
             min_version = self.published.targets.min_version(request.prompt.model, roll_s, at_s)
-        wish = Wish(service, self.settings.zone, attempt.exact_version, min_version, state.tried())
+        prompt = request.prompt
+        left_s = route.objective_s - (at_s - request.arrived_s)
+        may_be_on_time = not state.outcomes and route.objective_s > 0 and left_s > 0
+        wish = Wish(
+            service=service,
+            zone=self.settings.zone,
+            exact_version=attempt.exact_version,
+            min_version=min_version,
+            unwanted=state.tried(),
+            prompt_tokens=prompt.prompt_tokens if prompt else 0,
+            answer_tokens=prompt.expected_answer_tokens if prompt else 0,
+            first_event_s=left_s if may_be_on_time else None,
+        )
         chosen = self.placement.choose(wish, at_s)
         if isinstance(chosen, Refusal):
             raise _Answered(503, chosen.reason, self._retry_after_s(chosen))
+        if not state.outcomes:
+            story.predicted_s = self.placement.predict_s(chosen, wish, at_s) or -1.0
+            story.in_flight = self.placement.in_flight(chosen.id, at_s)
         return chosen
 
     def _attempt(
@@ -225,11 +257,12 @@
         begun_s = now_s()
         in_flight = self.placement.in_flight(upstream.id, begun_s)
         version = self.placement.version_of(upstream, begun_s)
-        self.placement.begin(upstream.id)
+        tokens = request.prompt.prompt_tokens if request.prompt else 0
+        sent = self.placement.begin(upstream.id, tokens, begun_s)
         try:
-            ended = attempt.run(upstream, workspace, self._rank(workspace, route))
+            ended = attempt.run(upstream, workspace, self._rank(workspace, route), sent)
         finally:
-            self.placement.end(upstream.id)
+            self.placement.end(sent, now_s())
         if story.first_event_s < 0 and attempt.first_event_s is not None:
             story.first_event_s = attempt.first_event_s - story.inbound.arrived_s
         self._learn(request, upstream, ended)
@@ -342,6 +375,9 @@
             story.upstream,
             self.published.policy.version if self.published.policy else 0,
             self.mirror.age_s(at_s),
+            story.in_flight,
+            story.prompt_tokens,
+            story.predicted_s,
             story.first_event_s,
             at_s - story.inbound.arrived_s,
         )
--- /dev/null
+++ b/daisystack/runtime/engine_datagrams.py
@@ -0,0 +1,83 @@
+"""Send the state of an engine to nearby entries in datagrams, faster than news goes round."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Iterable
+
+import eventlet
+from attrs import define, field
+from eventlet.green import socket as green_socket
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from daisystack.core.addresses import Address, parse_address
+from daisystack.core.engine_news import EngineBoard, EngineNews
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.events import PeerSilent
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.tasks import run_steps
+from daisystack.wire import mesh
+from daisystack.wire.gen import ttypes
+
+__all__ = ["EngineNewsSender", "receive_engine_news"]
+
+MAX_DATAGRAM_BYTES = 1400
+
+_logger = logging.getLogger("daisystack.mesh")
+
+
+@define(eq=False)
+class EngineNewsSender:
+    """Own the socket that datagrams leave by; a lost one is made up for by the next."""
+
+    _sock: socket.socket = field(factory=lambda: _datagram_socket())
+
+    def send(self, news: EngineNews, addresses: Iterable[str], at_s: float) -> None:
+        """Send an engine's state to addresses."""
+        body = _encode(mesh.engine_to_wire(news, at_s))
+        for text in addresses:
+            address = parse_address(text)
+            try:
+                self._sock.sendto(body, (address.host, address.port))
+            except OSError as error:
+                log_event(_logger, PeerSilent(text, f"datagram: {error}"), logging.DEBUG)
+
+
+def receive_engine_news(address: Address, board: EngineBoard) -> eventlet.greenthread.GreenThread:
+    """Take datagrams with the state of engines; raises OSError when the port can't be bound."""
+    sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind((address.host, address.port))
+
+    def step() -> None:
+        body, _ = sock.recvfrom(MAX_DATAGRAM_BYTES)
+        wire = _decode(body)
+        if wire is not None:
+            board.heard(mesh.engine_from_wire(wire, now_s()))
+
+    return eventlet.spawn(run_steps, "engine datagrams", step)
+
+
+def _datagram_socket() -> socket.socket:
+    sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    return sock
+
+
+def _encode(wire: ttypes.EngineNews) -> bytes:
+    buffer = TMemoryBuffer()
+    wire.write(TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def _decode(body: bytes) -> ttypes.EngineNews | None:
+    wire = ttypes.EngineNews()
+    try:
+        wire.read(TCompactProtocol(TMemoryBuffer(body)))
+        wire.validate()
+    except (TException, EOFError, ValueError, TypeError, IndexError) as error:
+        log_event(_logger, PeerSilent("datagram", f"not read: {error}"))
+        return None
+    return wire if None not in vars(wire).values() else None
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -24,6 +24,8 @@
     "RolloutDone",
     "RolloutStarted",
     "ServiceReadFailed",
+    "SettingsKept",
+    "SettingsReloaded",
     "TargetTaken",
     "UpstreamChanged",
     "UpstreamGone",
@@ -243,6 +245,9 @@
     upstream: str
     policy_version: int
     belief_age_s: float
+    upstream_in_flight: int
+    prompt_tokens: int
+    predicted_first_event_s: float
     first_event_s: float
     took_s: float
 
@@ -275,3 +280,17 @@
     after: int
     answer: str
     took_s: float
+
+
+@frozen
+class SettingsReloaded:
+    """Log that changed settings are in force."""
+
+    path: str
+
+
+@frozen
+class SettingsKept:
+    """Log that changed settings are faulty and the former ones stay."""
+
+    faults: str
--- a/daisystack/runtime/mesh_handler.py
+++ b/daisystack/runtime/mesh_handler.py
@@ -45,4 +45,7 @@
         """Return a piece, waiting for it as long as the peer does."""
         wait_s = min(MAX_WAIT_S, ask.wait_ms / MS_PER_S)
         body = self.pieces.piece(ask.model, ask.version, ask.index, wait_s)
-        return ttypes.Piece(body is not None, body or b"")
+        if body is None:
+            return ttypes.Piece(False, b"", 0)
+        end = ask.offset_bytes + ask.length_bytes if ask.length_bytes else len(body)
+        return ttypes.Piece(True, body[ask.offset_bytes : end], len(body))
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -29,6 +29,8 @@
 # News must cross a zone of a dozen entries in about two rounds.
 NEAR_FANOUT = 3
 FAR_FANOUT = 1
+# Bytes between zones are dear; a zone of three entries still hears of another each half second.
+FAR_EVERY = 2
 # A peer that does not answer within this is asked again in a later round.
 PEER_TIMEOUT_S = 0.7
 # A pause this long is the process's own and not its peers' silence.
@@ -61,6 +63,7 @@
     _busy: set[str] = field(factory=set)
     _reachable: dict[str, bool] = field(factory=dict)
     _ticked_s: float = field(factory=now_s)
+    _rounds: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(self.own.id)
@@ -76,10 +79,11 @@
         if changed:
             self.spread()
 
-    def spread(self) -> None:
-        """Exchange news with the neighbours now."""
+    def spread(self, is_urgent: bool = True) -> None:
+        """Exchange news with some neighbours now, with one of each zone if it is urgent."""
         self.own = attrs.evolve(self.own, beat=self.own.beat + 1)
-        for address in self._choose():
+        self._rounds += 1
+        for address in self._choose(is_urgent):
             if address not in self._busy:
                 self._busy.add(address)
                 eventlet.spawn(self._exchange, address)
@@ -165,9 +169,9 @@
     def _round(self) -> None:
         eventlet.sleep(ROUND_S * random.uniform(0.85, 1.15))
         self._notice_pause(now_s())
-        self.spread()
+        self.spread(is_urgent=False)
 
-    def _choose(self) -> list[str]:
+    def _choose(self, is_urgent: bool) -> list[str]:
         entries = self.membership.members(MemberRole.ENTRY)
         near = [m.peer_address for m in entries if m.zone == self.own.zone]
         far = [m.peer_address for m in entries if m.zone != self.own.zone]
@@ -176,7 +180,10 @@
             chosen = random.sample(near or far, min(1, len(near or far)))
         else:
             chosen = random.sample(near, min(NEAR_FANOUT, len(near)))
-            chosen += random.sample(far, min(FAR_FANOUT, len(far)))
+            if is_urgent:
+                chosen += _one_of_each_zone(entries, self.own.zone)
+            elif self._rounds % FAR_EVERY == 0 or not near:
+                chosen += random.sample(far, min(FAR_FANOUT, len(far)))
         known = {*near, *far, self.own.peer_address}
         # A seed that was never heard may be the only way to the rest after a partition.
         unheard = [seed for seed in self.seeds if seed not in known]
@@ -220,3 +227,11 @@
 
 def _ms_or_never(age_s: float) -> int:
     return -1 if age_s == float("inf") else mesh.age_to_ms(age_s)
+
+
+def _one_of_each_zone(entries: list[Member], own_zone: str) -> list[str]:
+    by_zone: dict[str, list[str]] = {}
+    for member in entries:
+        if member.zone != own_zone:
+            by_zone.setdefault(member.zone, []).append(member.peer_address)
+    return [random.choice(addresses) for addresses in by_zone.values()]
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -23,6 +23,14 @@
 # Spreads the reads of processes that all start or all lose their peers at once.
 START_SPREAD_S = 0.1
 RETRY_S = 0.25
+# One call in this time; changes end it at once.
+WATCH_S = 2.0
+# How often a process looks whether it is its turn to watch.
+IDLE_WATCH_S = 0.5
+# Reads in the store's own zone take a few milliseconds.
+NEAR_READ_S = 0.012
+# Weight of the newest read in the mean time that reads take.
+SMOOTHING = 0.3
 
 _logger = logging.getLogger("daisystack.mirror")
 
@@ -37,15 +45,39 @@
     on_changes: Callable[[Mirror, list], None]
     calls: int = 0
     _is_lost: bool = False
+    _read_s: float = 0.0
 
     def start(self) -> None:
         """Begin to read."""
         eventlet.spawn(run_steps, f"mirror of {self.mirror.prefix}", self._step)
 
+    def start_watch(self) -> None:
+        """Begin to watch as well, while this process is the one that reads."""
+        eventlet.spawn(run_steps, f"watch of {self.mirror.prefix}", self._watch)
+
+    def _watch(self) -> None:
+        is_reader = self.rank() == 0 and self._read_s <= NEAR_READ_S and not self._is_lost
+        if not self.mirror.is_known or not is_reader:
+            eventlet.sleep(IDLE_WATCH_S)
+            return
+        self.calls += 1
+        try:
+            events = self.store.watch(self.mirror.prefix, self.mirror.complete_revision, WATCH_S)
+        except BackendError:
+            # The reads say whether the store is there; a forgotten history is read anew by them.
+            eventlet.sleep(IDLE_WATCH_S)
+            return
+        changes = self.mirror.take_events(events)
+        if changes:
+            self.on_changes(self.mirror, changes)
+        elif events:
+            # Known already, until the next read moves the revision to watch from.
+            eventlet.sleep(TICK_S)
+
     def _step(self) -> None:
         if not self.mirror.is_known:
             eventlet.sleep(random.uniform(0.0, START_SPREAD_S))
-        patience_s = reader_patience_s(self.rank())
+        patience_s = reader_patience_s(self.rank(), self._read_s)
         wait_s = patience_s - self.mirror.age_s(now_s())
         if wait_s > 0:
             eventlet.sleep(max(TICK_S, min(wait_s, patience_s)))
@@ -61,6 +93,7 @@
             eventlet.sleep(RETRY_S * random.uniform(0.5, 1.5))
             return
         self._regained()
+        self._read_s += SMOOTHING * (now_s() - snapshot.asked_s - self._read_s)
         changes = self.mirror.take_snapshot(snapshot)
         if changes:
             self.on_changes(self.mirror, changes)
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -11,6 +11,7 @@
 
 from daisystack.backends import BackendError, WeightOrigin
 from daisystack.core.membership import Member
+from daisystack.core.pull_pace import slice_pause_s
 from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.weight_pieces import HolderPlan, PieceCache, PieceList, sorted_zones
 from daisystack.runtime.clock import now_s
@@ -19,12 +20,16 @@
 from daisystack.runtime.peer_link import PeerError, PeerLink
 from daisystack.wire.gen import ttypes
 
-__all__ = ["PieceTask", "pull_piece"]
+__all__ = ["PieceTask", "pull_piece", "pull_piece_in_slices"]
 
 MS_PER_S = 1000
+# 17 ms on a link of 3.8 Mbit/s, which is what a request waits behind one at most.
+SLICE_BYTES = 8192
 
 # Connections of one entry to the origin, of the few dozen that it accepts in all.
 ORIGIN_LANES = 3
+# Pulls from other entries at once: one on the link while another waits for its piece.
+PEER_LANES = 2
 # A piece takes some 30 ms on the origin's link; behind all others it takes two seconds.
 PEER_WAIT_S = 2.5
 PEER_TIMEOUT_S = 3.0
@@ -50,10 +55,16 @@
     peer_bytes: int = 0
     _pulling: set[tuple[str, int, int]] = field(factory=set)
     _listing: set[tuple[str, int]] = field(factory=set)
+    _peer_lanes: Semaphore = field(factory=lambda: Semaphore(PEER_LANES))
     _origin_lanes: Semaphore = field(factory=lambda: Semaphore(ORIGIN_LANES))
 
     def wanted(self, target: WeightTarget) -> None:
-        """Bring the own share of a version before agents ask for it."""
+        """Bring the own share of a new version before agents ask for it.
+
+        A version that was in force before is brought when an agent asks: mostly nobody needs it.
+        """
+        if self.targets.age_s(target.model, now_s()) == float("inf"):
+            return
         eventlet.spawn(self._bring_share, target)
 
     def digests(self, model: str, version: int) -> list[str]:
@@ -181,7 +192,9 @@
             return False
         link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
         try:
-            body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
+            # In order, so that the first pieces reach the agents while later ones are pulled.
+            with self._peer_lanes:
+                body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
         except PeerError as error:
             log_event(_logger, WeightSourceFailed(source.id, str(error)))
             return False
@@ -219,6 +232,32 @@
 
 def pull_piece(link: PeerLink, model: str, version: int, index: int, wait_s: float) -> bytes | None:
     """Ask a peer for a piece, unverified; raises PeerError."""
-    ask = ttypes.PieceAsk(model, version, index, int(wait_s * MS_PER_S))
-    answer = link.call("piece", ask)
+    answer = link.call("piece", ttypes.PieceAsk(model, version, index, _wait_ms(wait_s), 0, 0))
     return answer.body if answer.held else None
+
+
+def pull_piece_in_slices(
+    link: PeerLink,
+    model: str,
+    version: int,
+    index: int,
+    wait_s: float,
+    link_bytes_per_s: float,
+) -> bytes | None:
+    """Ask a peer for a piece in slices that leave a narrow link to others; raises PeerError."""
+    body = bytearray()
+    while True:
+        asked_s = now_s()
+        ask = ttypes.PieceAsk(model, version, index, _wait_ms(wait_s), len(body), SLICE_BYTES)
+        answer = link.call("piece", ask)
+        if not answer.held:
+            return None
+        body += answer.body
+        if len(body) >= answer.size_bytes or not answer.body:
+            return bytes(body)
+        took_s = now_s() - asked_s
+        eventlet.sleep(slice_pause_s(len(answer.body), link_bytes_per_s, took_s))
+
+
+def _wait_ms(wait_s: float) -> int:
+    return int(wait_s * MS_PER_S)
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 import eventlet
 from attrs import define, field
 from eventlet.queue import Empty, Queue
 
 from daisystack.backends import BackendError, LocalEngine
-from daisystack.core.direct_settings import WeightAgentSettings
+from daisystack.core.direct_settings import Place, WeightAgentSettings
 from daisystack.core.engine_news import EngineNews
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.roll import RollPlan, order_time_s
@@ -22,6 +23,7 @@
     sorted_zones,
 )
 from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.engine_datagrams import EngineNewsSender
 from daisystack.runtime.events import (
     ChunkRejected,
     DependencyLost,
@@ -33,16 +35,21 @@
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.peer_link import PeerError, PeerLink
-from daisystack.runtime.piece_task import pull_piece
+from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
 from daisystack.runtime.tasks import run_steps
 
 __all__ = ["WeightAgent"]
 
-WATCH_S = 0.2
+# The engine's own report is fresh and free to its own machine.
+WATCH_S = 0.1
 STEP_S = 0.1
-# Two keep the link full while one of them waits for its turn at an entry.
-PULL_LANES = 3
+# One is staged while another is on the link; requests wait behind two slices at most.
+PULL_LANES = 2
+# An engine that serves nothing has no requests to wait; two keep the link full.
+IDLE_PULL_LANES = 2
+# An estimate from fewer pieces than this says little.
+MIN_PULLED_TO_ESTIMATE = 8
 PULL_WAIT_S = 2.0
 PULL_TIMEOUT_S = 4.0
 # A piece that is asked for in vain is asked of another entry after this.
@@ -53,6 +60,21 @@
 _logger = logging.getLogger("daisystack.agent")
 
 
+@define
+class _Pulling:
+    """Hold how far the pulls of one version have come."""
+
+    begun_s: float
+    wanted: int
+    done: int = 0
+
+    def end_s(self, at_s: float) -> float | None:
+        """Return when the last piece is expected, None while too few have come."""
+        if self.done < min(MIN_PULLED_TO_ESTIMATE, self.wanted):
+            return None
+        return self.begun_s + (at_s - self.begun_s) * self.wanted / max(1, self.done)
+
+
 @define(eq=False)
 class WeightAgent:
     """Own the engine on this machine: its pieces, its orders and its reports."""
@@ -60,6 +82,7 @@
     settings: WeightAgentSettings
     engine: LocalEngine
     mesh: MeshTask = field(init=False)
+    sender: EngineNewsSender = field(factory=EngineNewsSender)
     state: EngineState | None = None
     pulled_bytes: int = 0
     orders: int = 0
@@ -67,11 +90,12 @@
     _ready_s: float | None = None
     _staged_for: tuple[str, int, int] | None = None
     _is_lost: bool = False
+    _pulling: _Pulling | None = None
 
     def __attrs_post_init__(self) -> None:
         place = self.settings.place
         own = Member(
-            place.id, new_incarnation(), MemberRole.AGENT, "", "", place.zone, place.region
+            place.id, new_incarnation(), MemberRole.AGENT, "", "", "", place.zone, place.region
         )
         self.mesh = MeshTask(own, place.seeds, (), lambda mirror, changes: None)
 
@@ -81,9 +105,13 @@
         eventlet.spawn(run_steps, "engine watch", self._watch)
         eventlet.spawn(run_steps, "engine fill", self._fill)
 
-    def run_until_stopped(self) -> None:
+    def take_place(self, place: Place) -> None:
+        """Take changed settings; only the seeds can change while a process runs."""
+        self.mesh.seeds = place.seeds
+
+    def run_until_stopped(self, on_hangup: Callable[[], None]) -> None:
         """Serve until asked to stop; nothing is in progress that another life can't repeat."""
-        wait_for_stop()
+        wait_for_stop(on_hangup)
 
     def _watch(self) -> None:
         eventlet.sleep(WATCH_S)
@@ -103,6 +131,7 @@
         self._tell(state, at_s)
 
     def _tell(self, state: EngineState, read_s: float) -> None:
+        """Send the engine's state to the entries nearby, and keep it for the next round of news."""
         news = EngineNews(
             address=self.settings.engine_address,
             born_ms=state.born_ms,
@@ -112,8 +141,11 @@
             running=state.running,
             queued=state.queued,
             read_s=read_s,
+            loads_at_s=self._loads_at_s(read_s),
         )
         self.mesh.engines.heard(news)
+        near = [m for m in self._entries() if m.zone == self.settings.place.zone]
+        self.sender.send(news, [member.news_address for member in near], now_s())
 
     def _fill(self) -> None:
         eventlet.sleep(STEP_S)
@@ -187,9 +219,12 @@
         wanted: Queue = Queue()
         for index in missing:
             wanted.put(index)
-        lanes = [eventlet.spawn(self._pull_lane, pieces, wanted) for _ in range(PULL_LANES)]
+        self._pulling = _Pulling(now_s(), len(missing))
+        count = PULL_LANES if self._serves else IDLE_PULL_LANES
+        lanes = [eventlet.spawn(self._pull_lane, pieces, wanted) for _ in range(count)]
         for lane in lanes:
             lane.wait()
+        self._pulling = None
 
     def _pull_lane(self, pieces: PieceList, wanted: Queue) -> None:
         links: dict[str, PeerLink] = {}
@@ -215,7 +250,7 @@
             return False
         link = links.setdefault(member.id, PeerLink(member.peer_address, PULL_TIMEOUT_S))
         try:
-            body = pull_piece(link, pieces.model, pieces.version, index, PULL_WAIT_S)
+            body = self._pull_from(link, pieces, index)
         except PeerError as error:
             log_event(_logger, WeightSourceFailed(member.id, str(error)))
             self.mesh.membership.silent(member.id)
@@ -227,8 +262,20 @@
             log_event(_logger, ChunkRejected(member.id, f"piece {index}: digest does not match"))
             return False
         self.engine.stage(pieces.model, index, body)
+        if self._pulling is not None:
+            self._pulling.done += 1
         return True
 
+    @property
+    def _serves(self) -> bool:
+        return self.state is not None and self.state.version > 0
+
+    def _pull_from(self, link: PeerLink, pieces: PieceList, index: int) -> bytes | None:
+        if not self._serves:
+            return pull_piece(link, pieces.model, pieces.version, index, PULL_WAIT_S)
+        rate = self.settings.link_bytes_per_s
+        return pull_piece_in_slices(link, pieces.model, pieces.version, index, PULL_WAIT_S, rate)
+
     def _holder(self, index: int) -> Member | None:
         entries = self._entries()
         place = self.settings.place
@@ -241,7 +288,7 @@
         at_s = now_s()
         if state is None or state.is_busy or state.version == pieces.version:
             return
-        if state.version > 0 and at_s < self._turn_s(pieces):
+        if state.version > 0 and at_s < self._turn_s(pieces.model, self._ready_s, at_s):
             return
         # Pieces rot where they lie, so they are read once more just before they are taken.
         if self._missing(pieces) or not self._is_wanted(pieces):
@@ -258,9 +305,20 @@
         )
         eventlet.sleep(ORDER_SETTLE_S)
 
-    def _turn_s(self, pieces: PieceList) -> float:
-        at_s = now_s()
+    def _loads_at_s(self, at_s: float) -> float | None:
+        """Return when the engine is expected to be ordered, None while that can't be told."""
+        target = self._target()
+        if target is None or not self._serves or self.state.version == target.version:
+            return None
+        ready_s = self._ready_s
+        if self._pulling is not None:
+            ready_s = self._pulling.end_s(at_s)
+        if ready_s is None:
+            return None
+        return self._turn_s(target.model, ready_s, at_s)
+
+    def _turn_s(self, model: str, ready_s: float, at_s: float) -> float:
         engines = [news.address for news in self.mesh.engines.told(at_s)]
         plan = RollPlan(self.settings.engine_address, engines, self.settings.version_bound_s)
-        learned_s = at_s - self.mesh.targets.age_s(pieces.model, at_s)
-        return order_time_s(plan, learned_s, self._ready_s)
+        learned_s = at_s - self.mesh.targets.age_s(model, at_s)
+        return order_time_s(plan, learned_s, ready_s)
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -746,11 +746,12 @@
      - leaving
      - beat
      - age_ms
+     - news_address
 
     """
 
 
-    def __init__(self, id=None, incarnation=None, role=None, peer_address=None, caller_address=None, zone=None, region=None, ready=None, leaving=None, beat=None, age_ms=None,):
+    def __init__(self, id=None, incarnation=None, role=None, peer_address=None, caller_address=None, zone=None, region=None, ready=None, leaving=None, beat=None, age_ms=None, news_address=None,):
         self.id = id
         self.incarnation = incarnation
         self.role = role
@@ -762,6 +763,7 @@
         self.leaving = leaving
         self.beat = beat
         self.age_ms = age_ms
+        self.news_address = news_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -827,6 +829,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.news_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -881,6 +888,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 11)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.news_address is not None:
+            oprot.writeFieldBegin('news_address', TType.STRING, 12)
+            oprot.writeString(self.news_address.encode('utf-8') if sys.version_info[0] == 2 else self.news_address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -978,11 +989,12 @@
      - running
      - queued
      - age_ms
+     - loads_in_ms
 
     """
 
 
-    def __init__(self, address=None, born_ms=None, version=None, whole=None, loading=None, running=None, queued=None, age_ms=None,):
+    def __init__(self, address=None, born_ms=None, version=None, whole=None, loading=None, running=None, queued=None, age_ms=None, loads_in_ms=None,):
         self.address = address
         self.born_ms = born_ms
         self.version = version
@@ -991,6 +1003,7 @@
         self.running = running
         self.queued = queued
         self.age_ms = age_ms
+        self.loads_in_ms = loads_in_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1041,6 +1054,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.loads_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1083,6 +1101,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 8)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.loads_in_ms is not None:
+            oprot.writeFieldBegin('loads_in_ms', TType.I32, 9)
+            oprot.writeI32(self.loads_in_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1633,15 +1655,19 @@
      - version
      - index
      - wait_ms
+     - offset_bytes
+     - length_bytes
 
     """
 
 
-    def __init__(self, model=None, version=None, index=None, wait_ms=None,):
+    def __init__(self, model=None, version=None, index=None, wait_ms=None, offset_bytes=None, length_bytes=None,):
         self.model = model
         self.version = version
         self.index = index
         self.wait_ms = wait_ms
+        self.offset_bytes = offset_bytes
+        self.length_bytes = length_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1672,6 +1698,16 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.offset_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.length_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1698,6 +1734,14 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 4)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.offset_bytes is not None:
+            oprot.writeFieldBegin('offset_bytes', TType.I32, 5)
+            oprot.writeI32(self.offset_bytes)
+            oprot.writeFieldEnd()
+        if self.length_bytes is not None:
+            oprot.writeFieldBegin('length_bytes', TType.I32, 6)
+            oprot.writeI32(self.length_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1721,13 +1765,15 @@
     Attributes:
      - held
      - body
+     - size_bytes
 
     """
 
 
-    def __init__(self, held=None, body=None,):
+    def __init__(self, held=None, body=None, size_bytes=None,):
         self.held = held
         self.body = body
+        self.size_bytes = size_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1748,6 +1794,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.size_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1766,6 +1817,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 2)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.size_bytes is not None:
+            oprot.writeFieldBegin('size_bytes', TType.I32, 3)
+            oprot.writeI32(self.size_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1858,6 +1913,7 @@
     (9, TType.BOOL, 'leaving', None, None, ),  # 9
     (10, TType.I64, 'beat', None, None, ),  # 10
     (11, TType.I32, 'age_ms', None, None, ),  # 11
+    (12, TType.STRING, 'news_address', 'UTF8', None, ),  # 12
 )
 all_structs.append(InFlight)
 InFlight.thrift_spec = (
@@ -1876,6 +1932,7 @@
     (6, TType.I32, 'running', None, None, ),  # 6
     (7, TType.I32, 'queued', None, None, ),  # 7
     (8, TType.I32, 'age_ms', None, None, ),  # 8
+    (9, TType.I32, 'loads_in_ms', None, None, ),  # 9
 )
 all_structs.append(MirrorState)
 MirrorState.thrift_spec = (
@@ -1925,12 +1982,15 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I32, 'index', None, None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.I32, 'offset_bytes', None, None, ),  # 5
+    (6, TType.I32, 'length_bytes', None, None, ),  # 6
 )
 all_structs.append(Piece)
 Piece.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'held', None, None, ),  # 1
     (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+    (3, TType.I32, 'size_bytes', None, None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -34,6 +34,7 @@
         role=member.role.value,
         peer_address=member.peer_address,
         caller_address=member.caller_address,
+        news_address=member.news_address,
         zone=member.zone,
         region=member.region,
         ready=member.is_ready,
@@ -51,6 +52,7 @@
         role=MemberRole(wire.role),
         peer_address=wire.peer_address,
         caller_address=wire.caller_address,
+        news_address=wire.news_address,
         zone=wire.zone,
         region=wire.region,
         is_ready=wire.ready,
@@ -71,6 +73,7 @@
         running=news.running,
         queued=news.queued,
         age_ms=age_to_ms(now_s - news.read_s),
+        loads_in_ms=_loads_in_ms(news, now_s),
     )
 
 
@@ -85,9 +88,16 @@
         running=wire.running,
         queued=wire.queued,
         read_s=now_s - wire.age_ms / MS_PER_S,
+        loads_at_s=now_s + wire.loads_in_ms / MS_PER_S if wire.loads_in_ms >= 0 else None,
     )
 
 
+def _loads_in_ms(news: EngineNews, now_s: float) -> int:
+    if news.loads_at_s is None:
+        return -1
+    return min(MAX_AGE_MS, int(max(0.0, news.loads_at_s - now_s) * MS_PER_S))
+
+
 def delta_to_wire(delta: Delta) -> ttypes.MirrorDelta:
     """Return the thrift form of a mirror's delta."""
     items = [
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -72,6 +72,7 @@
   10: i64 beat
   // Since the member itself said this.
   11: i32 age_ms
+  12: string news_address
 }
 
 struct InFlight {
@@ -88,6 +89,8 @@
   6: i32 running
   7: i32 queued
   8: i32 age_ms
+  // Until the engine is expected to load other weights; -1 when it is not.
+  9: i32 loads_in_ms
 }
 
 // What a mirror of published keys holds; complete_revision 0 means nothing yet.
@@ -134,12 +137,16 @@
   2: i64 version
   3: i32 index
   4: i32 wait_ms
+  // A part of the piece; a length of 0 means all that follows the offset.
+  5: i32 offset_bytes
+  6: i32 length_bytes
 }
 
 struct Piece {
   // False when the piece did not come within the wait.
   1: bool held
   2: binary body
+  3: i32 size_bytes
 }
 
 service Peer {
