Hold pieces only where they can be reached, and pull them in order

An agent's lane ended when its engine went away.

Change: an entry that does not answer is unreachable from here until it answers; waits are shorter and lanes go on.

--- a/daisystack/core/membership.py
+++ b/daisystack/core/membership.py
@@ -5,7 +5,6 @@
 import enum
 from collections.abc import Iterable
 
-import attrs
 from attrs import define, field, frozen
 
 __all__ = ["Member", "MemberRole", "Membership", "usable_entries"]
@@ -44,6 +43,8 @@
 class _Heard:
     member: Member
     heard_s: float
+    # It did not answer the newest question from here, whatever others hear of it.
+    is_unreachable: bool = False
 
 
 @define
@@ -54,20 +55,29 @@
     _heard: dict[str, _Heard] = field(factory=dict)
 
     def heard(self, member: Member, age_s: float, now_s: float) -> None:
-        """Take a process's word, directly or through a peer; older words change nothing."""
+        """Take a process's word, directly or through a peer; older words change nothing.
+
+        A word that came through a peer does not mean that its speaker can be reached from here.
+        """
         if member.id == self.me:
             return
         known = self._heard.get(member.id)
         spoken_s = now_s - age_s
         if known is not None and not _is_newer(member, known, spoken_s):
             return
-        self._heard[member.id] = _Heard(member, spoken_s)
+        same_life = known is not None and known.member.incarnation == member.incarnation
+        is_unreachable = same_life and known.is_unreachable
+        self._heard[member.id] = _Heard(member, spoken_s, is_unreachable)
 
     def silent(self, member_id: str) -> None:
-        """Record that a process does not answer, so that nobody is sent to it meanwhile."""
-        known = self._heard.get(member_id)
-        if known is not None:
-            known.member = attrs.evolve(known.member, is_ready=False)
+        """Record that a process did not answer."""
+        if member_id in self._heard:
+            self._heard[member_id].is_unreachable = True
+
+    def answered(self, member_id: str) -> None:
+        """Record that a process answered."""
+        if member_id in self._heard:
+            self._heard[member_id].is_unreachable = False
 
     def paused(self, gap_s: float) -> None:
         """Shift all times by an own pause, in which nothing could be heard."""
@@ -83,7 +93,9 @@
         return [
             known.member
             for known in self._heard.values()
-            if known.member.role is role and now_s - known.heard_s <= SUSPECT_AFTER_S
+            if known.member.role is role
+            and now_s - known.heard_s <= SUSPECT_AFTER_S
+            and not known.is_unreachable
         ]
 
     def told(self, now_s: float) -> list[tuple[Member, float]]:
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -90,6 +90,7 @@
             lambda: self.mesh.live_entries(now_s()),
             self.find_origin,
             self.published.targets,
+            lambda member_id: self.mesh.membership.silent(member_id),
         )
         self.published.on_target.append(self.pieces.wanted)
         self.requests = self._make_requests(hold)
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -181,7 +181,7 @@
         else:
             chosen = random.sample(near, min(NEAR_FANOUT, len(near)))
             if is_urgent:
-                chosen += _one_of_each_zone(entries, self.own.zone)
+                chosen += _one_of_each_zone(self.live_entries(now_s()), self.own.zone)
             elif self._rounds % FAR_EVERY == 0 or not near:
                 chosen += random.sample(far, min(FAR_FANOUT, len(far)))
         known = {*near, *far, self.own.peer_address}
@@ -201,6 +201,7 @@
         else:
             self._note_answer(address, now_s() - asked_s)
             attempt("news", self.take_news, answer, asked_s)
+            self.membership.answered(answer.sender.id)
         finally:
             self._busy.discard(address)
 
--- a/daisystack/runtime/peer_link.py
+++ b/daisystack/runtime/peer_link.py
@@ -17,7 +17,7 @@
 
 __all__ = ["PeerError", "PeerLink", "serve_peers"]
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 MS_PER_S = 1000
 
 _logger = logging.getLogger("daisystack.peers")
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -29,10 +29,12 @@
 # Connections of one entry to the origin, of the few dozen that it accepts in all.
 ORIGIN_LANES = 3
 # Pulls from other entries at once: one on the link while another waits for its piece.
-PEER_LANES = 2
-# A piece takes some 30 ms on the origin's link; behind all others it takes two seconds.
-PEER_WAIT_S = 2.5
-PEER_TIMEOUT_S = 3.0
+PEER_LANES = 3
+# A piece takes some 30 ms on the origin's link and all of them two seconds; after these waits in
+# vain the origin is asked from here too.
+PEER_WAIT_S = 0.8
+PEER_TRIES = 3
+PEER_TIMEOUT_S = 1.5
 RETRY_S = 0.2
 POLL_S = 0.02
 # Wrong bytes in a row for one piece after which its digest is doubted as well.
@@ -49,6 +51,7 @@
     entries: Callable[[], list[Member]]
     find_origin: Callable[[], tuple[WeightOrigin, str] | None]
     targets: Targets
+    on_silent: Callable[[str], None]
     cache: PieceCache = field(factory=PieceCache)
     origin_bytes: int = 0
     origin_calls: int = 0
@@ -169,8 +172,14 @@
 
     def _pull(self, pieces: PieceList, index: int) -> None:
         try:
-            if self._pull_from_peer(pieces, index):
-                return
+            for _ in range(PEER_TRIES):
+                source = self._member(self._plan().fetcher(index))
+                if source is None:
+                    break
+                # In order, so that the first pieces reach agents while later ones are pulled.
+                with self._peer_lanes:
+                    if self._pull_from_peer(pieces, index, source):
+                        return
             rejected = 0
             while rejected < MAX_REJECTED:
                 body = self._from_origin(pieces, index)
@@ -186,17 +195,13 @@
         finally:
             self._pulling.discard((pieces.model, pieces.version, index))
 
-    def _pull_from_peer(self, pieces: PieceList, index: int) -> bool:
-        source = self._member(self._plan().fetcher(index))
-        if source is None:
-            return False
+    def _pull_from_peer(self, pieces: PieceList, index: int, source: Member) -> bool:
         link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
         try:
-            # In order, so that the first pieces reach the agents while later ones are pulled.
-            with self._peer_lanes:
-                body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
+            body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
         except PeerError as error:
             log_event(_logger, WeightSourceFailed(source.id, str(error)))
+            self.on_silent(source.id)
             return False
         finally:
             link.close()
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -261,7 +261,11 @@
         if not is_piece(pieces, index, body):
             log_event(_logger, ChunkRejected(member.id, f"piece {index}: digest does not match"))
             return False
-        self.engine.stage(pieces.model, index, body)
+        try:
+            self.engine.stage(pieces.model, index, body)
+        except BackendError as error:
+            log_event(_logger, WeightSourceFailed("engine", str(error)))
+            return False
         if self._pulling is not None:
             self._pulling.done += 1
         return True
