Tell a reset from the end of an answer without a length

The green socket's recv returns no bytes for a reset, so an answer without a length that was reset looked whole.

Ruled out: an upstream that ends such an answer early by itself, which the contract counts as whole.

Change: attempts read the socket itself; old engines get nothing new 1.5 s before the bound, as a request may wait up to a second in an engine's queue. Test: an answer without a length that is reset, red before, green after.

--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -38,7 +38,7 @@
 # A key must be confirmed this much sooner than the bound, for the time a request is under way.
 KEY_MARGIN_S = 0.6
 # Requests that queue at an upstream begin later than they are sent.
-VERSION_MARGIN_S = 0.9
+VERSION_MARGIN_S = 1.5
 # The share of the grace in which everything in progress must have ended.
 STOP_SHARE = 0.95
 
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -9,6 +9,7 @@
 import eventlet
 import h11
 from attrs import define, field, frozen
+from eventlet import hubs
 from eventlet.green import socket as green_socket
 
 from daisystack.core.addresses import parse_address
@@ -137,7 +138,7 @@
                 return event
             with self._time_left():
                 try:
-                    got = self._sock.recv(READ_BYTES)
+                    got = _receive(self._sock)
                 except OSError as error:
                     self.was_reset = True
                     raise AttemptFailed(end, str(error)) from error
@@ -146,7 +147,7 @@
 
     def _has_answer(self) -> bool:
         with contextlib.suppress(OSError), eventlet.Timeout(CONNECT_TIMEOUT_S, False):
-            got = self._sock.recv(READ_BYTES)
+            got = _receive(self._sock)
             self._http.receive_data(got)
             return bool(got)
         return False
@@ -167,6 +168,19 @@
     return True
 
 
+def _receive(sock: green_socket.socket) -> bytes:
+    """Return the bytes that come next, none at the end; raises OSError.
+
+    The green socket's own recv returns no bytes for a reset, which would look like the end of an
+    answer without a length.
+    """
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            hubs.trampoline(sock.fd, read=True)
+
+
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -133,6 +133,24 @@
         self.assertIn(("failed", 504), requests.outcomes)
 
 
+class TestAnswersWithoutLength(unittest.TestCase):
+    HEAD = b"HTTP/1.1 200 OK\r\n" + MARK.encode() + b"\r\n"
+
+    def test_one_that_ends_with_its_connection_is_whole(self):
+        responder, _, _ = serve(RequestKind.UNSAFE, [cut(self.HEAD + b"good")])
+        self.assertEqual((responder.status, responder.body), (200, b"good"))
+
+    def test_one_that_is_reset_is_not(self):
+        def send_and_reset(sock):
+            read_request(sock)
+            sock.sendall(self.HEAD + b"goo")
+            eventlet.sleep(0.05)
+            reset(0)(sock)
+
+        responder, _, _ = serve(RequestKind.UNSAFE, [send_and_reset])
+        self.assertEqual(responder.status, 502)
+
+
 class TestBudget(unittest.TestCase):
     def test_retries_stop_when_the_share_of_the_slack_is_spent(self):
         script = Counted(NO_BYTES)
