Bound logs, serve metrics, and end each version in its own time

A second bump two seconds after a first made every engine of the version before both unusable at once.

Change: each version ends a bound after the next one was named; an engine of an old version gets a request only if twice the predicted wait still fits before that end. Logs go out within a budget of lines and never wait for a reader; what is left out is counted and said. Entries and agents serve counters, histograms and ages on their metrics address.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from attrs import define, field, frozen
@@ -35,6 +35,9 @@
 OBJECTIVE_SLACK = 1.15
 # Each second that a request keeps an engine from loading is a second of its other places.
 OVERRUN_COST = 0.5
+# Waits for a place vary by this factor, and the news of a version is some tenths of a second old.
+BEGIN_SLACK = 2.0
+BEGIN_MARGIN_S = 0.6
 # An engine's load is unknown when its agent has said nothing for this long.
 LOAD_LIFETIME_S = 0.6
 
@@ -71,7 +74,8 @@
     service: str
     zone: str
     exact_version: int | None = None
-    min_version: int = 0
+    # Until when a request may begin on a version that an engine holds.
+    old_until_s: Callable[[int], float] | None = None
     unwanted: frozenset[str] = frozenset()
     prompt_tokens: int = 0
     answer_tokens: int = 0
@@ -260,9 +264,19 @@
         if news is not None and news.is_loading and news.born_ms == upstream.born_ms:
             return False
         version = self.version_of(upstream, now_s)
-        if wish.exact_version is not None:
-            return version == wish.exact_version
-        return version > 0 and version >= wish.min_version
+        if wish.exact_version is not None and version != wish.exact_version:
+            return False
+        return version > 0 and self._begins_in_time(upstream, wish, version, now_s)
+
+    def _begins_in_time(
+        self, upstream: DirectUpstream, wish: Wish, version: int, now_s: float
+    ) -> bool:
+        """Say whether a request surely begins before its engine's version may serve no more."""
+        until_s = wish.old_until_s(version) if wish.old_until_s else float("inf")
+        if until_s == float("inf"):
+            return True
+        expected_s = self.predict_s(upstream, wish, now_s) or 0.0
+        return now_s + BEGIN_SLACK * expected_s + BEGIN_MARGIN_S <= until_s
 
     def _has_room(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
         if self.in_flight(upstream.id, now_s) >= _most_requests(upstream):
--- a/daisystack/core/roll.py
+++ b/daisystack/core/roll.py
@@ -11,7 +11,7 @@
 __all__ = ["RollPlan", "order_time_s"]
 
 # Covers the age of the news of a version and the last reading of the pieces before the order.
-LAST_ORDER_MARGIN_S = 0.8
+LAST_ORDER_MARGIN_S = 0.7
 # A first turn needs no wait, the last one waits until its time.
 EARLIEST_SHARE = 0.0
 
@@ -22,7 +22,8 @@
 
     me: str
     engines: Sequence[str]
-    bound_s: float
+    # When the version that the engine serves may serve no more.
+    until_s: float
 
     def turn(self) -> float:
         """Return the own place among the engines, from 0 for the first to 1 for the last."""
@@ -32,9 +33,9 @@
         return ranked.index(self.me) / (len(ranked) - 1)
 
 
-def order_time_s(plan: RollPlan, learned_s: float, ready_s: float) -> float:
+def order_time_s(plan: RollPlan, ready_s: float) -> float:
     """Return when an engine that serves should be ordered, once its pieces are staged."""
-    last_s = learned_s + plan.bound_s - LAST_ORDER_MARGIN_S
+    last_s = plan.until_s - LAST_ORDER_MARGIN_S
     if last_s <= ready_s:
         return ready_s
     return ready_s + plan.turn() * (last_s - ready_s)
--- a/daisystack/core/targets.py
+++ b/daisystack/core/targets.py
@@ -17,45 +17,33 @@
     version: int
 
 
-@define
-class _Wanted:
-    version: int
-    learned_s: float
-    previous: int
-
-
 @define
 class Targets:
-    """Keep the newest version wanted of each model; it never goes back."""
+    """Keep the versions wanted of each model and since when; the newest never goes back."""
 
-    _wanted: dict[str, _Wanted] = field(factory=dict)
+    _learned_s: dict[str, dict[int, float]] = field(factory=dict)
 
     def take(self, target: WeightTarget, learned_s: float) -> bool:
         """Take a target; one found at start was learned at LONG_AGO_S."""
-        known = self._wanted.get(target.model)
-        if known is not None and target.version <= known.version:
+        if target.version <= self.version(target.model):
             return False
-        previous = known.version if known else target.version
-        self._wanted[target.model] = _Wanted(target.version, learned_s, previous)
+        self._learned_s.setdefault(target.model, {})[target.version] = learned_s
         return True
 
     def version(self, model: str) -> int:
         """Return the wanted version, 0 when none is known."""
-        wanted = self._wanted.get(model)
-        return wanted.version if wanted else 0
+        return max(self._learned_s.get(model, ()), default=0)
 
     def all(self) -> list[WeightTarget]:
         """Return the version wanted of each model."""
-        return [WeightTarget(model, wanted.version) for model, wanted in self._wanted.items()]
+        return [WeightTarget(model, self.version(model)) for model in self._learned_s]
 
-    def min_version(self, model: str, roll_s: float, now_s: float) -> int:
-        """Return the oldest version that may still serve: the wanted one once its time is up."""
-        wanted = self._wanted.get(model)
-        if wanted is None:
-            return 0
-        return wanted.version if now_s - wanted.learned_s >= roll_s else wanted.previous
+    def old_until_s(self, model: str, version: int, bound_s: float) -> float:
+        """Return until when requests may begin on a version: a bound after the next was named."""
+        later = [v for v in self._learned_s.get(model, ()) if v > version]
+        return self._learned_s[model][min(later)] + bound_s if later else float("inf")
 
     def age_s(self, model: str, now_s: float) -> float:
         """Return how long ago the wanted version was learned."""
-        wanted = self._wanted.get(model)
-        return now_s - wanted.learned_s if wanted else float("inf")
+        learned_s = self._learned_s.get(model)
+        return now_s - learned_s[self.version(model)] if learned_s else float("inf")
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections.abc import Callable
 
@@ -21,8 +22,11 @@
 from daisystack.core.traffic import CallerLimits
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.direct_metrics import EntryMetrics, MetricsServer, Sample
 from daisystack.runtime.direct_requests import DirectRequests, DirectSettings
 from daisystack.runtime.engine_datagrams import receive_engine_news
+from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
+from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.mirror_task import MirrorTask
@@ -33,12 +37,12 @@
 
 __all__ = ["DirectEntry"]
 
+_logger = logging.getLogger("daisystack.entry")
+
 # A zone's own entries are enough when one may fail and another still serves.
 MIN_NEAR_ENTRIES = 2
 # A key must be confirmed this much sooner than the bound, for the time a request is under way.
 KEY_MARGIN_S = 0.6
-# Requests that queue at an upstream begin later than they are sent.
-VERSION_MARGIN_S = 1.5
 # The share of the grace in which everything in progress must have ended.
 STOP_SHARE = 0.95
 
@@ -64,6 +68,7 @@
     server: CallerServer = field(init=False)
     tasks: list[MirrorTask] = field(init=False)
     pieces: PieceTask = field(init=False)
+    metrics: MetricsServer = field(init=False)
     _origins: dict[str, WeightOrigin] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -98,6 +103,10 @@
         self.server = CallerServer(
             address, self.requests.handle, self._limits, lambda: self.is_leaving
         )
+        self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
+        counts = EntryMetrics(self.metrics.registry)
+        self.requests.on_ended = counts.request_ended
+        self.requests.on_attempt = counts.attempt_ended
         self.tasks = [
             MirrorTask(mirror, self.store, self._reader_rank, self.take_changes)
             for mirror in self.mirrors.values()
@@ -120,6 +129,17 @@
         for task in self.tasks:
             task.start()
         self.tasks[0].start_watch()
+        self.metrics.start()
+        place = self.settings.place
+        incarnation = self.mesh.own.incarnation
+        started = DaemonStarted(
+            "entry",
+            place.zone,
+            self.settings.caller_address,
+            self.mesh.own.peer_address,
+            incarnation,
+        )
+        log_event(_logger, started)
         self.mesh.start()
         self.server.start()
 
@@ -154,6 +174,7 @@
         """Serve until asked to stop, then until nobody is sent here any more."""
         wait_for_stop(on_hangup)
         self.leave()
+        log_event(_logger, DaemonStopping(self.server.in_progress, self.settings.stop_grace_s))
         asked_s = now_s()
         last_s = self.settings.stop_grace_s * STOP_SHARE
         linger_s = min(last_s, 3 * self.settings.address_lifetime_s)
@@ -162,6 +183,7 @@
         self.server.close_idle()
         while self.server.in_progress and now_s() - asked_s < last_s:
             eventlet.sleep(0.02)
+        log_event(_logger, DaemonStopped(self.server.in_progress))
 
     def stop_times(self) -> StopTimes | None:
         """Return when this entry was asked to stop and when it ends, None while it goes on."""
@@ -193,7 +215,7 @@
         bounds = DirectSettings(
             zone=settings.place.zone,
             max_key_age_s=settings.revoke_bound_s - KEY_MARGIN_S,
-            version_roll_s=settings.version_bound_s - VERSION_MARGIN_S,
+            version_bound_s=settings.version_bound_s,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
@@ -219,6 +241,29 @@
         ranked = rank_members(f"reader/{place.zone}", [place.id, *near])
         return min(2, ranked.index(place.id))
 
+    def _samples(self) -> list[Sample]:
+        at_s = now_s()
+        found = [
+            (f"daisystack_belief_age_{name}_seconds", f"Age of the mirror of {name}", age_s)
+            for name, age_s in (
+                ("operator", self.mirrors[self.operator_prefix].age_s(at_s)),
+                ("upstreams", self.mirrors[self.upstream_prefix].age_s(at_s)),
+            )
+        ]
+        policy = self.published.policy
+        return found + [
+            ("daisystack_policy_version", "Version in force", policy.version if policy else 0),
+            ("daisystack_in_progress", "Requests in progress", self.server.in_progress),
+            ("daisystack_ready", "Whether callers may be sent here", float(self.is_ready)),
+            ("daisystack_live_entries", "Other entries alive", len(self.mesh.live_entries(at_s))),
+            ("daisystack_retries_left", "Retries left in the window", self.requests.retries_left()),
+            ("daisystack_store_calls", "Calls to the store", sum(t.calls for t in self.tasks)),
+            ("daisystack_mesh_exchanges", "Exchanges of news", self.mesh.exchanges),
+            ("daisystack_piece_bytes", "Memory of pieces held", self.pieces.cache.held_bytes),
+            ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
+            ("daisystack_peer_bytes", "Piece bytes from entries", self.pieces.peer_bytes),
+        ]
+
     def _limits(self) -> CallerLimits:
         policy = self.published.policy
         return policy.limits if policy else CallerLimits()
--- /dev/null
+++ b/daisystack/runtime/direct_metrics.py
@@ -0,0 +1,93 @@
+"""Count decisions and measure latencies of processes on the platform, and serve the figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from attrs import define, field
+
+from daisystack.core.addresses import parse_address
+from daisystack.runtime.events import AttemptEnded, DirectRequestEnded
+from daisystack.runtime.web import Request, Response, Route, serve_http
+
+__all__ = ["EntryMetrics", "MetricsServer", "Sample"]
+
+METRICS_PATH = "/metrics"
+# From a tenth of the shortest objective to the longest deadline of the users' routes.
+LATENCY_BUCKETS_S = [0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0]
+
+# A gauge's name, its help and its value now.
+Sample = tuple[str, str, float]
+
+
+@define(eq=False)
+class MetricsServer:
+    """Serve a registry, with gauges read at the moment of asking."""
+
+    address: str
+    samples: Callable[[], Iterable[Sample]]
+    registry: Registry = field(factory=Registry)
+    _gauges: dict[str, Gauge] = field(factory=dict)
+
+    def start(self) -> None:
+        """Listen; raises OSError when the address can't be bound."""
+        serve_http(parse_address(self.address), [Route("GET", METRICS_PATH, self._serve)])
+
+    def text(self) -> bytes:
+        """Return the figures in the text format."""
+        for name, help_text, value in self.samples():
+            if name not in self._gauges:
+                self._gauges[name] = Gauge(name, help_text, registry=self.registry)
+            self._gauges[name].set({}, value)
+        return render(self.registry, ["text/plain"])[0]
+
+    def _serve(self, request: Request, rest: str) -> Response:
+        return Response(200, self.text(), "text/plain; version=0.0.4; charset=utf-8")
+
+
+@define(eq=False)
+class EntryMetrics:
+    """Count requests and attempts, and measure how long they take."""
+
+    registry: Registry
+    requests: Counter = field(init=False)
+    attempts: Counter = field(init=False)
+    first_event: Histogram = field(init=False)
+    request_time: Histogram = field(init=False)
+    attempt_time: Histogram = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        registry = self.registry
+        self.requests = Counter(
+            "daisystack_requests_total", "Requests by outcome and status", registry=registry
+        )
+        self.attempts = Counter(
+            "daisystack_attempts_total", "Attempts by how they ended", registry=registry
+        )
+        self.first_event = _histogram(
+            "daisystack_first_event_seconds", "Time to the first event of a stream", registry
+        )
+        self.request_time = _histogram(
+            "daisystack_request_seconds", "Time from a request's head to its end", registry
+        )
+        self.attempt_time = _histogram(
+            "daisystack_attempt_seconds", "Time of one attempt at an upstream", registry
+        )
+
+    def request_ended(self, event: DirectRequestEnded) -> None:
+        """Count a request."""
+        labels = {"outcome": event.outcome, "status": str(event.status)}
+        self.requests.inc(labels)
+        self.request_time.observe({"outcome": event.outcome}, event.took_s)
+        if event.first_event_s >= 0:
+            self.first_event.observe({}, event.first_event_s)
+
+    def attempt_ended(self, event: AttemptEnded) -> None:
+        """Count an attempt."""
+        self.attempts.inc({"end": event.end})
+        self.attempt_time.observe({"end": event.end}, event.took_s)
+
+
+def _histogram(name: str, help_text: str, registry: Registry) -> Histogram:
+    return Histogram(name, help_text, buckets=LATENCY_BUCKETS_S, registry=registry)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -52,7 +52,7 @@
 
     zone: str
     max_key_age_s: float
-    version_roll_s: float
+    version_bound_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
@@ -98,7 +98,8 @@
     hold: CrashHold = field(factory=CrashHold)
     stop: Callable[[], StopTimes | None] = lambda: None
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
-    on_ended: list[Callable[[DirectRequestEnded], None]] = field(factory=list)
+    on_ended: Callable[[DirectRequestEnded], None] = lambda event: None
+    on_attempt: Callable[[AttemptEnded], None] = lambda event: None
     _budgets: dict[str, WindowedBudget] = field(factory=dict)
     _draw: random.Random = field(factory=random.SystemRandom)
 
@@ -220,10 +221,6 @@
         at_s = now_s()
         if at_s >= state.deadline_s:
             raise _Answered(503, "deadline has passed")
-        min_version = 0
-        if request.prompt is not None:
-            roll_s = self.settings.version_roll_s
-            min_version = self.published.targets.min_version(request.prompt.model, roll_s, at_s)
         prompt = request.prompt
         left_s = route.objective_s - (at_s - request.arrived_s)
         may_be_on_time = not state.outcomes and route.objective_s > 0 and left_s > 0
@@ -231,7 +228,7 @@
             service=service,
             zone=self.settings.zone,
             exact_version=attempt.exact_version,
-            min_version=min_version,
+            old_until_s=self._old_until(request),
             unwanted=state.tried(),
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             answer_tokens=prompt.expected_answer_tokens if prompt else 0,
@@ -245,6 +242,13 @@
             story.in_flight = self.placement.in_flight(chosen.id, at_s)
         return chosen
 
+    def _old_until(self, request: DirectRequest) -> Callable[[int], float] | None:
+        if request.prompt is None:
+            return None
+        model = request.prompt.model
+        bound_s = self.settings.version_bound_s
+        return lambda version: self.published.targets.old_until_s(model, version, bound_s)
+
     def _attempt(
         self,
         request: DirectRequest,
@@ -277,6 +281,7 @@
             version,
             now_s() - begun_s,
         )
+        self.on_attempt(event)
         if ended.end is not AttemptEnd.ANSWERED:
             log_event(_logger, event)
         return AttemptOutcome(ended.end, upstream.id, reason=ended.reason)
@@ -350,6 +355,11 @@
         body = json.dumps({"error": answered.reason}).encode() + b"\n"
         responder.whole(answered.status, headers, body)
 
+    def retries_left(self) -> float:
+        """Return the retries that the most used budget still allows."""
+        at_s, entries = now_s(), self.entries()
+        return min((b.left(entries, at_s) for b in self._budgets.values()), default=0.0)
+
     def _budget(self, service: str) -> WindowedBudget:
         if service not in self._budgets:
             settings = self.settings
@@ -381,8 +391,7 @@
             story.first_event_s,
             at_s - story.inbound.arrived_s,
         )
-        for listener in self.on_ended:
-            listener(event)
+        self.on_ended(event)
         log_event(_logger, event)
 
 
--- a/daisystack/runtime/logs.py
+++ b/daisystack/runtime/logs.py
@@ -4,19 +4,35 @@
 
 import json
 import logging
+import os
 import re
-import sys
 from enum import Enum
 
 import attrs
+import eventlet.patcher
 from pythonjsonlogger.core import BaseJsonFormatter
 
 from daisystack.core.audit import AuditEvent, AuditTrail
-
-__all__ = ["AUDIT_LOGGER", "KeyValueFormatter", "log_event", "record_audit", "set_up_logging"]
+from daisystack.core.log_budget import LogBudget
+from daisystack.runtime.clock import now_s
+
+__all__ = [
+    "AUDIT_LOGGER",
+    "BoundedHandler",
+    "KeyValueFormatter",
+    "log_event",
+    "record_audit",
+    "set_up_logging",
+]
 
 AUDIT_LOGGER = "daisystack.audit"
 
+# Three times the lines of an entry at the users' peak of requests and changes.
+LINES_PER_S = 150.0
+BURST_LINES = 600.0
+MAX_LINE_BYTES = 4096
+POLLOUT = 4
+
 _PLAIN = re.compile(r"[^\s\"=]+")
 _WORD_BORDER = re.compile(r"(?<!^)(?=[A-Z])")
 
@@ -36,7 +52,7 @@
         rename_fields={"asctime": "at", "levelname": "level", "name": "stream", "message": "event"},
         static_fields={"who": who},
     )
-    handler = logging.StreamHandler(sys.stdout)
+    handler = BoundedHandler()
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
@@ -46,6 +62,38 @@
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
 
 
+class BoundedHandler(logging.Handler):
+    """Write lines to standard output within a budget, and never wait for a slow reader."""
+
+    def __init__(self, descriptor: int = 1) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.budget = LogBudget(LINES_PER_S, BURST_LINES)
+        self._poll = eventlet.patcher.original("select").poll()
+        self._poll.register(descriptor, POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it as left out."""
+        if not self.budget.take(now_s()):
+            return
+        dropped = self.budget.take_dropped()
+        if dropped:
+            self._write(f"event=log_lines_left_out level=WARNING lines={dropped}")
+        self._write(self.format(record))
+
+    def _write(self, line: str) -> None:
+        # Within this size a pipe takes a line whole or is not ready.
+        body = line.encode("utf-8", "replace")[: MAX_LINE_BYTES - 1] + b"\n"
+        if not self._poll.poll(0):
+            self.budget.drop()
+            return
+        try:
+            os.write(self.descriptor, body)
+        except OSError:
+            # Nobody reads any more; there is nowhere left to say so.
+            self.budget.drop()
+
+
 def log_event(logger: logging.Logger, event: object, level: int = logging.INFO) -> None:
     """Log an attrs object under its class's name."""
     logger.log(level, event_name(event), extra=attrs.asdict(event, recurse=False))
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -23,9 +23,12 @@
     sorted_zones,
 )
 from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.direct_metrics import MetricsServer, Sample
 from daisystack.runtime.engine_datagrams import EngineNewsSender
 from daisystack.runtime.events import (
     ChunkRejected,
+    DaemonStarted,
+    DaemonStopping,
     DependencyLost,
     DependencyRegained,
     OrderAnswered,
@@ -82,6 +85,7 @@
     settings: WeightAgentSettings
     engine: LocalEngine
     mesh: MeshTask = field(init=False)
+    metrics: MetricsServer = field(init=False)
     sender: EngineNewsSender = field(factory=EngineNewsSender)
     state: EngineState | None = None
     pulled_bytes: int = 0
@@ -98,12 +102,18 @@
             place.id, new_incarnation(), MemberRole.AGENT, "", "", "", place.zone, place.region
         )
         self.mesh = MeshTask(own, place.seeds, (), lambda mirror, changes: None)
+        self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
     def start(self) -> None:
         """Start the tasks."""
         self.mesh.start()
         eventlet.spawn(run_steps, "engine watch", self._watch)
         eventlet.spawn(run_steps, "engine fill", self._fill)
+        self.metrics.start()
+        place = self.settings.place
+        incarnation = self.mesh.own.incarnation
+        started = DaemonStarted("agent", place.zone, self.settings.engine_address, "", incarnation)
+        log_event(_logger, started)
 
     def take_place(self, place: Place) -> None:
         """Take changed settings; only the seeds can change while a process runs."""
@@ -112,6 +122,17 @@
     def run_until_stopped(self, on_hangup: Callable[[], None]) -> None:
         """Serve until asked to stop; nothing is in progress that another life can't repeat."""
         wait_for_stop(on_hangup)
+        log_event(_logger, DaemonStopping(0, 0.0))
+
+    def _samples(self) -> list[Sample]:
+        state, target = self.state, self._target()
+        return [
+            ("daisystack_engine_answers", "Whether the engine answers", float(state is not None)),
+            ("daisystack_engine_version", "Version held whole", state.version if state else 0),
+            ("daisystack_wanted_version", "Version wanted", target.version if target else 0),
+            ("daisystack_orders", "Orders given", self.orders),
+            ("daisystack_pulled_bytes", "Bytes of pieces pulled", self.pulled_bytes),
+        ]
 
     def _watch(self) -> None:
         eventlet.sleep(WATCH_S)
@@ -323,6 +344,7 @@
 
     def _turn_s(self, model: str, ready_s: float, at_s: float) -> float:
         engines = [news.address for news in self.mesh.engines.told(at_s)]
-        plan = RollPlan(self.settings.engine_address, engines, self.settings.version_bound_s)
-        learned_s = at_s - self.mesh.targets.age_s(model, at_s)
-        return order_time_s(plan, learned_s, ready_s)
+        serving = self.state.version if self.state else 0
+        until_s = self.mesh.targets.old_until_s(model, serving, self.settings.version_bound_s)
+        plan = RollPlan(self.settings.engine_address, engines, until_s)
+        return order_time_s(plan, ready_s)
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -72,33 +72,33 @@
         targets = Targets()
         targets.take(WeightTarget("m", 1), LONG_AGO_S)
         targets.take(WeightTarget("m", 2), 10.0)
-        self.assertEqual(targets.min_version("m", 6.0, 15.9), 1)
-        self.assertEqual(targets.min_version("m", 6.0, 16.0), 2)
+        self.assertEqual(targets.old_until_s("m", 1, 8.0), 18.0)
+        self.assertEqual(targets.old_until_s("m", 2, 8.0), float("inf"))
 
-    def test_a_second_bump_does_not_bring_the_first_version_back(self):
+    def test_each_version_ends_a_bound_after_the_next_was_named(self):
         targets = Targets()
         for version, at_s in [(1, LONG_AGO_S), (2, 10.0), (3, 12.0)]:
             targets.take(WeightTarget("m", version), at_s)
-        self.assertEqual(targets.min_version("m", 6.0, 16.5), 2)
-        self.assertEqual(targets.min_version("m", 6.0, 18.0), 3)
+        ends_s = [targets.old_until_s("m", version, 8.0) for version in (0, 1, 2, 3)]
+        self.assertEqual(ends_s, [LONG_AGO_S, 18.0, 20.0, float("inf")])
 
     def test_a_target_found_at_start_may_be_long_in_force(self):
         targets = Targets()
         targets.take(WeightTarget("m", 2), LONG_AGO_S)
-        self.assertEqual(targets.min_version("m", 6.0, 0.0), 2)
+        self.assertEqual(targets.old_until_s("m", 1, 8.0), LONG_AGO_S)
 
 
 class TestRoll(unittest.TestCase):
     def test_turns_are_spread_over_the_time_left(self):
         engines = [f"e{i}" for i in range(5)]
-        times = sorted(order_time_s(RollPlan(e, engines, 8.0), 10.0, 14.0) for e in engines)
+        times = sorted(order_time_s(RollPlan(e, engines, 18.0), 14.0) for e in engines)
         self.assertEqual(times[0], 14.0)
         self.assertLess(times[-1], 18.0)
         gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
         self.assertAlmostEqual(min(gaps), max(gaps))
 
     def test_who_is_ready_too_late_loads_at_once(self):
-        self.assertEqual(order_time_s(RollPlan("e", ["e", "f"], 8.0), 10.0, 30.0), 30.0)
+        self.assertEqual(order_time_s(RollPlan("e", ["e", "f"], 18.0), 30.0), 30.0)
 
 
 class TestWindowedBudget(unittest.TestCase):
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -121,9 +121,28 @@
         placement.engines.heard(build_news("a", 0.0, is_loading=True))
         placement.engines.heard(build_news("b", 0.0, version=1))
         self.assertEqual(placement.choose(PROMPT, 0.0).id, "b")
-        newer = attrs.evolve(PROMPT, min_version=2)
+        newer = attrs.evolve(PROMPT, old_until_s=lambda version: float("-inf"))
         self.assertIsInstance(placement.choose(newer, 0.0), Refusal)
 
+    def test_nothing_is_sent_that_may_begin_after_the_old_version_s_time(self):
+        """End of a roll: the fuller an engine of the old version, the earlier it gets no more."""
+        for running, queued, last_s in [(0, 0, 7.0), (15, 2, 6.2)]:
+            with self.subTest(running=running):
+                placement = build_pool(build_engine("a"))
+                wish = attrs.evolve(PROMPT, first_event_s=None, old_until_s=lambda version: 8.0)
+                for now_s, able in [(last_s, True), (7.35, False)]:
+                    news = build_news("a", now_s, running=running, queued=queued)
+                    placement.engines.heard(news)
+                    found = placement.choose(wish, now_s)
+                    self.assertEqual(not isinstance(found, Refusal), able)
+
+    def test_a_second_version_does_not_end_the_first_one_s_time(self):
+        """Two versions named two seconds apart: engines of the first serve until their own end."""
+        placement = build_pool(build_engine("a", version=1))
+        ends_s = {1: 18.0, 2: 20.0, 3: float("inf")}
+        wish = attrs.evolve(PROMPT, old_until_s=ends_s.__getitem__)
+        self.assertEqual(placement.choose(wish, 14.0).id, "a")
+
     def test_a_report_of_a_former_life_says_nothing(self):
         placement = build_pool(build_engine("a", version=0, born_ms=9))
         placement.engines.heard(build_news("a", 0.0, version=1))
