Show the platform's path on loopback, as processes before a stand-in

Change: a stand-in of the store, an origin and runners, a small site of separate processes, make demo-platform, and tests that run the same story, follow a request by its id and take a key away.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint gen clean binary bench
+.PHONY: demo demo-platform test lint gen clean binary bench
 
 .venv/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv .venv
@@ -42,3 +42,6 @@
 
 clean:
 	rm -rf build .venv
+
+demo-platform: .venv/ready
+	$(BIN)/python -m daisystack.tests.on_platform.demo
--- /dev/null
+++ b/daisystack/tests/on_platform/site.py
@@ -0,0 +1,185 @@
+"""Run the programs of the platform and its stand-in as separate processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import sys
+import time
+from pathlib import Path
+
+import urllib3
+from attrs import define, field
+
+from tools.processes import Processes
+
+__all__ = ["Answer", "PlatformSite"]
+
+HOST = "127.0.0.1"
+KEY = "key-of-the-dealers"
+READY_WITHIN_S = 20.0
+POLL_S = 0.05
+# Where programs serve their metrics, by the deploy file.
+METRICS_PORT = 7714
+STAND_IN = "daisystack.tests.on_platform.standin"
+# Each program has a loopback address of its own, so that ports are the same everywhere.
+CALLERS, READY, PEERS, DIRECTORY, DATAGRAMS = range(10, 15)
+FIRST_HOST = 2
+
+
+@define
+class Answer:
+    """Hold what a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+@define(eq=False)
+class PlatformSite:
+    """Own the processes of a small site: a stand-in, entries, and an agent for each engine."""
+
+    folder: Path
+    entries: int = 2
+    models: int = 2
+    base_port: int = field(factory=lambda: _free_ports(100))
+    processes: Processes = field(init=False)
+    _http: urllib3.PoolManager = field(factory=lambda: urllib3.PoolManager(retries=False))
+    _sent: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.processes = Processes(self.folder, (sys.executable,))
+
+    def start(self) -> None:
+        """Start everything and wait until every entry is ready; raises TimeoutError."""
+        self.processes.start("standin", "-m", STAND_IN, str(self.base_port))
+        self.wait_for(lambda: self._listens(self.base_port))
+        for index in range(self.entries):
+            self.start_entry(index)
+        for index in range(self.models):
+            self._start_program(f"agent-{index}", "agent", self._host(self.entries + index))
+        self.wait_for(lambda: all(self.is_ready(i) for i in range(self.entries)))
+
+    def start_entry(self, index: int) -> None:
+        """Start an entry."""
+        self._start_program(f"entry-{index}", "entry", self._host(index))
+
+    def is_ready(self, index: int) -> bool:
+        """Say whether an entry takes callers."""
+        return self._get(index, READY, "/daisystack/ready").status == 200
+
+    def addresses(self, index: int) -> list[str]:
+        """Ask an entry's directory which addresses to use."""
+        path = "/daisystack/resolve?name=site.example&region=r1&zone=z1"
+        answer = self._get(index, DIRECTORY, path)
+        return json.loads(answer.body)["addresses"] if answer.status == 200 else []
+
+    def caller_address(self, index: int) -> str:
+        """Return where an entry takes callers."""
+        return f"{self._host(index)}:{self.base_port + CALLERS}"
+
+    def metrics(self, index: int) -> str:
+        """Return an entry's metrics."""
+        return self._ask(f"http://{self._host(index)}:{METRICS_PORT}/metrics").body.decode()
+
+    def call(self, index: int, method: str, path: str, key: str | None = KEY) -> Answer:
+        """Send a caller's request to an entry."""
+        self._sent += 1
+        headers = {"Host": "site.example", "X-Attempt-Id": f"r{self._sent}"}
+        headers |= {"X-Deadline-Ms": "3000"}
+        if key is not None:
+            headers["Api-Key"] = key
+        if path.startswith("/draft/"):
+            headers |= {"X-Model": "m1", "X-Token-Usage": "100,20"}
+        body = b"{}" if method == "POST" else None
+        return self._ask(f"http://{self.caller_address(index)}{path}", method, body, headers)
+
+    def publish(self, key: str, value: object) -> None:
+        """Publish a value in the store."""
+        url = f"http://{HOST}:{self.base_port}/publish/{key}"
+        self._ask(url, "PUT", json.dumps(value).encode(), {})
+
+    def engine_version(self, index: int) -> int:
+        """Return the version that an engine holds whole."""
+        url = f"http://{HOST}:{self.base_port + 3 + index}/daisystack/report"
+        models = json.loads(self._ask(url).body)["models"]
+        return models[0]["version"] if models else 0
+
+    def wait_for(self, condition, within_s: float = READY_WITHIN_S) -> float:
+        """Wait for a condition and return how long it took; raises TimeoutError."""
+        begun_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - begun_s > within_s:
+                raise TimeoutError(f"not so within {within_s} s")
+            time.sleep(POLL_S)
+        return time.monotonic() - begun_s
+
+    def stop(self) -> None:
+        """End all processes."""
+        self.processes.end_all()
+
+    def _get(self, index: int, port: int, path: str) -> Answer:
+        return self._ask(f"http://{self._host(index)}:{self.base_port + port}{path}")
+
+    def _ask(
+        self,
+        url: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Ask any process; status 0 when it does not answer."""
+        try:
+            got = self._http.request(method, url, body=body, headers=headers, timeout=5.0)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return Answer(0, b"", {})
+        return Answer(got.status, got.data, dict(got.headers))
+
+    def _host(self, place: int) -> str:
+        return f"127.0.0.{FIRST_HOST + place}"
+
+    def _listens(self, port: int) -> bool:
+        with socket.socket() as probe:
+            return probe.connect_ex((HOST, port)) == 0
+
+    def _start_program(self, name: str, role: str, host: str) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / f"{name}.conf"
+        path.write_text(self._settings(name, host))
+        os.environ["DAISYSTACK_SETTINGS"] = str(path)
+        self.processes.start(name, "platform/serve.py", role)
+
+    def _settings(self, name: str, host: str) -> str:
+        model = int(name.rpartition("-")[2])
+        port = self.base_port
+        lines = {
+            "node_name": name,
+            "ip": host,
+            "zone": "z1",
+            "region": "r1",
+            "listen.front": f"{host}:{port + CALLERS}",
+            "listen.ready": f"{host}:{port + READY}",
+            "listen.control": f"{host}:{port + PEERS}",
+            "listen.directory": f"{host}:{port + DIRECTORY}",
+            "port_range": f"{port + DATAGRAMS},{port + DATAGRAMS}",
+            "seeds": f"{self._host(0)}:{port + PEERS}",
+            "limits.link_mbps": "1000",
+            "app": f"{HOST}:{port + 3 + model}",
+            "service": "pool",
+            "platform.address": f"{HOST}:{port}",
+            "bounds.grace_s": "8",
+            "bounds.version_ms": "8000",
+            "bounds.revoke_ms": "5000",
+            "bounds.budget_slack": "100",
+        }
+        return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+def _free_ports(count: int) -> int:
+    """Return the first of a row of ports that are likely free."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port = probe.getsockname()[1]
+    return port if port + count < 60_000 else port - 2 * count
--- /dev/null
+++ b/daisystack/tests/on_platform/standin.py
@@ -0,0 +1,292 @@
+"""Stand in for the platform on loopback: its store, an origin of weights and runners."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import sys
+
+import eventlet
+from attrs import define, field
+
+from daisystack.core.addresses import Address
+from daisystack.runtime.web import (
+    Request,
+    Response,
+    Route,
+    StreamBody,
+    json_response,
+    read_body,
+    serve_http,
+)
+
+__all__ = ["ModelRunner", "PlainRunner", "StandIn", "Store", "build_config"]
+
+HOST = "127.0.0.1"
+MODEL = "m1"
+KEY = "key-of-the-dealers"
+PIECES = 8
+LAYERS = 4
+PIECE_BYTES = 32_768
+EVENTS = 5
+EVENT_PAUSE_S = 0.02
+WATCH_POLL_S = 0.02
+MAX_BODY_BYTES = 1_000_000
+# Ports from the base on: the store, the origin, the plain runner, then the model runners.
+STORE, ORIGIN, PLAIN, FIRST_MODEL = 0, 1, 2, 3
+
+
+def piece_of(version: int, index: int) -> bytes:
+    """Return the bytes of a piece."""
+    seed = hashlib.sha256(f"{version}/{index}".encode()).digest()
+    return seed * (PIECE_BYTES // len(seed))
+
+
+@define(eq=False)
+class Store:
+    """Hold published keys; anybody may read and watch them."""
+
+    revision: int = 1
+    items: dict[str, tuple[int, bytes]] = field(factory=dict)
+    deleted: dict[str, int] = field(factory=dict)
+
+    def put(self, key: str, value: object) -> None:
+        """Publish a value."""
+        self.revision += 1
+        self.items[key] = (self.revision, json.dumps(value).encode())
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        self.revision += 1
+        if self.items.pop(key, None):
+            self.deleted[key] = self.revision
+
+    def routes(self) -> list[Route]:
+        """Return what the store serves, and a call by which the demo publishes."""
+        return [
+            Route("GET", "/daisystack/kv-range", self._range),
+            Route("GET", "/daisystack/kv-watch", self._watch),
+            Route("PUT", "/publish/", self._publish),
+        ]
+
+    def _publish(self, request: Request, key: str) -> Response:
+        self.put(key, json.loads(read_body(request, MAX_BODY_BYTES)))
+        return json_response(200, {"revision": self.revision})
+
+    def _range(self, request: Request, rest: str) -> Response:
+        prefix = request.query("prefix")
+        found = [self._item(k) for k in sorted(self.items) if k.startswith(prefix)]
+        body = {"items": found, "more_pages": False, "as_of": self.revision}
+        return json_response(200, body)
+
+    def _watch(self, request: Request, rest: str) -> Response:
+        prefix, after = request.query("prefix"), int(request.query("after", "0"))
+        with eventlet.Timeout(int(request.query("wait_ms", "0")) / 1000, False):
+            while not self._events(prefix, after):
+                eventlet.sleep(WATCH_POLL_S)
+        body = {"events": self._events(prefix, after), "as_of": self.revision}
+        return json_response(200, body)
+
+    def _events(self, prefix: str, after: int) -> list[dict]:
+        found = [
+            self._item(k)
+            for k, (revision, _) in self.items.items()
+            if k.startswith(prefix) and revision > after
+        ]
+        found += [
+            {"key": k, "revision": revision, "deleted": True}
+            for k, revision in self.deleted.items()
+            if k.startswith(prefix) and revision > after
+        ]
+        return sorted(found, key=lambda event: event["revision"])
+
+    def _item(self, key: str) -> dict:
+        revision, value = self.items[key]
+        coded = base64.b64encode(value).decode()
+        return {"key": key, "value": coded, "revision": revision, "created_rev": 1, "lease": 0}
+
+
+def serve_origin(request: Request, rest: str) -> Response:
+    """Hand out the digests and pieces of any version."""
+    version = int(request.query("version"))
+    if request.path.startswith("/daisystack/piece/"):
+        piece = piece_of(version, int(request.query("quantity")))
+        return Response(200, piece, "application/octet-stream")
+    digests = [hashlib.sha256(piece_of(version, i)).hexdigest() for i in range(PIECES)]
+    body = {"model": MODEL, "version": version, "chunk_bytes": PIECE_BYTES, "digests": digests}
+    return json_response(200, body)
+
+
+@define(eq=False)
+class PlainRunner:
+    """Run requests at once, each with its id and mark."""
+
+    id: str
+    runs: list[str] = field(factory=list)
+
+    def routes(self) -> list[Route]:
+        """Return what the runner serves."""
+        return [
+            Route("GET", "/runs", lambda request, rest: json_response(200, self.runs)),
+            Route("GET", "/", self._run),
+            Route("POST", "/", self._run),
+        ]
+
+    def _run(self, request: Request, rest: str) -> Response:
+        self.runs.append(request.header("X-Attempt-Id"))
+        seen = {"by": self.id, "tenant": request.header("X-Tenant"), "path": request.path}
+        return json_response(200, seen, marks_of(self.id, request))
+
+
+@define(eq=False)
+class ModelRunner:
+    """Serve a model in a few events, and load what is staged when it is ordered to."""
+
+    id: str
+    version: int = 0
+    order_count: int = 0
+    staged: dict[int, bytes] = field(factory=dict)
+
+    def routes(self) -> list[Route]:
+        """Return what the runner serves."""
+        return [
+            Route("GET", "/daisystack/report", self._report),
+            Route("POST", "/daisystack/order", self._order),
+            Route("PUT", "/daisystack/stage-put/", self._stage),
+            Route("GET", "/daisystack/stage-get/", self._staged),
+            Route("POST", "/", self._run),
+        ]
+
+    def state(self) -> dict:
+        """Return what the runner says of its weights."""
+        layers = [{"from": 0, "to": LAYERS, "version": self.version}] if self.version else None
+        models = [{"name": MODEL, "version": self.version, "adapters": []}] if self.version else []
+        return {"stage": "both", "models": models, "layers": layers, "born": 1}
+
+    def _report(self, request: Request, rest: str) -> Response:
+        load = {"busy": False, "seq": self.order_count, "running": 0, "queued": 0}
+        return json_response(200, self.state() | load)
+
+    def _order(self, request: Request, rest: str) -> Response:
+        order = json.loads(read_body(request, MAX_BODY_BYTES))
+        wanted = [piece_of(order["version"], i) for i in range(PIECES)]
+        if order["expected"] != self.order_count:
+            return json_response(409, {})
+        self.order_count += 1
+        is_whole = [self.staged.get(i) for i in range(PIECES)] == wanted
+        # A wrong piece makes a version that nobody asked for, which the demo notices.
+        self.version = order["version"] if is_whole else -1
+        return json_response(202, {})
+
+    def _stage(self, request: Request, rest: str) -> Response:
+        self.staged[int(request.query("quantity"))] = read_body(request, MAX_BODY_BYTES)
+        return json_response(200, {})
+
+    def _staged(self, request: Request, rest: str) -> Response:
+        index = request.query("quantity")
+        if not index:
+            return json_response(200, {"held": sorted(self.staged)})
+        if int(index) not in self.staged:
+            return json_response(404, {})
+        return Response(200, self.staged[int(index)], "application/octet-stream")
+
+    def _run(self, request: Request, rest: str) -> Response:
+        if self.version <= 0:
+            return json_response(503, {}, (("X-Not-Executed", "1"),))
+        marks = (*marks_of(self.id, request), ("X-Weight-Versions", str(self.version)))
+
+        def events():
+            for number in range(1, EVENTS + 1):
+                eventlet.sleep(EVENT_PAUSE_S)
+                yield f"id: {number}\ndata: {self.id} of version {self.version}\n\n".encode()
+
+        return Response(200, StreamBody(events(), lambda: None), "text/event-stream", marks)
+
+
+def marks_of(runner_id: str, request: Request) -> tuple[tuple[str, str], ...]:
+    """Return the headers by which a runner marks its answers."""
+    request_id = request.header("X-Attempt-Id") or ""
+    return (("X-Attempt-Id", request_id), ("X-Response-Stamp", f"{runner_id}.1"))
+
+
+@define(eq=False)
+class StandIn:
+    """Run a small platform on ports from a base on."""
+
+    base_port: int
+    models: int = 2
+    store: Store = field(factory=Store)
+
+    def start(self) -> None:
+        """Listen everywhere and publish the first configuration; raises OSError."""
+        origin = [Route("GET", "/daisystack/", serve_origin)]
+        self._serve(STORE, self.store.routes())
+        self._serve(ORIGIN, origin)
+        self._serve(PLAIN, PlainRunner("plain-1").routes())
+        runners = [
+            ModelRunner(f"model-{i}", version=1 if i == 0 else 0) for i in range(self.models)
+        ]
+        for index, runner in enumerate(runners):
+            self._serve(FIRST_MODEL + index, runner.routes())
+        self.store.put("op/config", build_config(self.address(ORIGIN)))
+        self._publish_runners(runners)
+        eventlet.spawn(self._keep_published, runners)
+
+    def address(self, port: int) -> str:
+        """Return the address of a part."""
+        return f"{HOST}:{self.base_port + port}"
+
+    def _serve(self, port: int, routes: list[Route]) -> None:
+        serve_http(Address(HOST, self.base_port + port), routes)
+
+    def _keep_published(self, runners: list[ModelRunner]) -> None:
+        told = [runner.version for runner in runners]
+        while True:
+            eventlet.sleep(WATCH_POLL_S)
+            if told != [runner.version for runner in runners]:
+                told = [runner.version for runner in runners]
+                self._publish_runners(runners)
+
+    def _publish_runners(self, runners: list[ModelRunner]) -> None:
+        entry = {"zone": "z1", "version": "v1", "slots": 8, "state": "ready"}
+        entry |= {"cold_left_ms": 0, "seq": 1, "born": 1}
+        plain = entry | {"service": "ledger", "address": self.address(PLAIN)}
+        self.store.put("servers/plain-1", plain)
+        for index, runner in enumerate(runners):
+            where = {"service": "pool", "address": self.address(FIRST_MODEL + index)}
+            self.store.put(f"servers/{runner.id}", entry | where | runner.state())
+
+
+def build_config(origin_address: str) -> dict:
+    """Return a configuration with a route of each kind and one workspace."""
+    route = {"host": "site.example", "timeout_ms": 3000, "target_latency_ms": 400}
+    route |= {"priority": 1, "max_attempts": 2, "public": False}
+    engine = {"models": [{"name": MODEL, "warm_s": 0.1}], "stride": 1, "step_ms": 5.0}
+    engine |= {"read_per_s": 30000.0, "chunk": 2048, "layers": LAYERS}
+    return {
+        "version": 1,
+        "routes": [
+            route
+            | {"name": "draft", "prefix": "/draft/", "kind": "streaming", "service": "pool"}
+            | {"stream_resume": True, "gap_aim_ms": 300},
+            route | {"name": "post", "prefix": "/post/", "kind": "unsafe", "service": "ledger"},
+            route
+            | {"name": "read", "prefix": "/read/", "kind": "safe", "service": "ledger"}
+            | {"public": True},
+        ],
+        "services": [
+            {"name": "pool", "max_connections": 100, "engine": engine},
+            {"name": "ledger", "max_connections": 100},
+            {"name": "portal", "origin": origin_address, "zone": "z1"},
+        ],
+        "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "dealers", "api_keys": [KEY], "priority": 1}],
+    }
+
+
+if __name__ == "__main__":
+    StandIn(int(sys.argv[1])).start()
+    print("stand-in listens", flush=True)
+    while True:
+        eventlet.sleep(3600)
--- /dev/null
+++ b/daisystack/tests/test_platform_site.py
@@ -0,0 +1,45 @@
+"""The programs of the platform as separate processes, before a stand-in of it."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from daisystack.tests.on_platform.demo import Table, show
+from daisystack.tests.on_platform.site import PlatformSite
+from daisystack.tests.on_platform.standin import build_config
+
+
+class TestSite(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.site = PlatformSite(self.folder)
+        self.addCleanup(self.site.stop)
+        self.site.start()
+
+    def log(self, name):
+        return (self.folder / f"{name}.log").read_text()
+
+    def test_the_whole_story(self):
+        table = Table()
+        show(self.site, table)
+        self.assertEqual(table.failed, 0)
+
+    def test_a_request_can_be_followed_by_its_id(self):
+        self.site.call(0, "POST", "/post/1")
+        line = next(x for x in self.log("entry-0").splitlines() if "request_id=r1 " in x)
+        for told in ("outcome=served", "service=ledger", "upstream=plain-1", "belief_age_s="):
+            self.assertIn(told, line)
+        self.assertIn(
+            'daisystack_requests_total{outcome="served",status="200"} 1', self.site.metrics(0)
+        )
+
+    def test_a_key_that_was_taken_away_opens_nothing(self):
+        config = build_config(f"127.0.0.1:{self.site.base_port + 1}")
+        config["version"] = 2
+        config["tenants"] = [{"name": "dealers", "api_keys": ["another-key"]}]
+        self.site.publish("op/config", config)
+        took_s = self.site.wait_for(lambda: self.site.call(1, "POST", "/post/1").status == 401)
+        self.assertLess(took_s, 2.0)
+        self.assertEqual(self.site.call(1, "POST", "/post/1", "another-key").status, 200)
