Fill empty engines from engines nearby that serve the version

Change: an agent hands out what lies staged beside its engine while the engine serves that version; entries verify each piece and go on to the origin when it is missing or rotten. Tests: no call to the origin; a rotten piece replaced.

--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -46,6 +46,7 @@
 
     place: Place
     engine_address: str
+    peer_address: str
     service: str
     link_bytes_per_s: float
     metrics_address: str
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -96,6 +96,7 @@
             self.find_origin,
             self.published.targets,
             lambda member_id: self.mesh.membership.silent(member_id),
+            self._serving_agents,
         )
         self.published.on_target.append(self.pieces.wanted)
         self.requests = self._make_requests(hold)
@@ -262,8 +263,21 @@
             ("daisystack_piece_bytes", "Memory of pieces held", self.pieces.cache.held_bytes),
             ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
             ("daisystack_peer_bytes", "Piece bytes from entries", self.pieces.peer_bytes),
+            ("daisystack_agent_bytes", "Piece bytes from agents", self.pieces.agent_bytes),
         ]
 
+    def _serving_agents(self, version: int) -> list[Member]:
+        agents = self.mesh.membership.members(MemberRole.AGENT)
+        near = [agent for agent in agents if agent.zone == self.settings.place.zone]
+        serving = [agent for agent in near if self._serves(agent, version)]
+        return sorted(serving, key=lambda agent: agent.id)
+
+    def _serves(self, agent: Member, version: int) -> bool:
+        news = self.placement.engines.get(agent.caller_address, now_s())
+        if news is None or news.is_loading:
+            return False
+        return news.is_whole and news.version == version
+
     def _limits(self) -> CallerLimits:
         policy = self.published.policy
         return policy.limits if policy else CallerLimits()
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -30,6 +30,8 @@
 ORIGIN_LANES = 3
 # Pulls from other entries at once: one on the link while another waits for its piece.
 PEER_LANES = 3
+# Pulls from agents at once; their links carry answers too.
+AGENT_LANES = 2
 # A piece takes some 30 ms on the origin's link and all of them two seconds; after these waits in
 # vain the origin is asked from here too.
 PEER_WAIT_S = 0.8
@@ -52,12 +54,16 @@
     find_origin: Callable[[], tuple[WeightOrigin, str] | None]
     targets: Targets
     on_silent: Callable[[str], None]
+    # Agents nearby whose engines serve a version, so that its pieces lie staged there.
+    serving_agents: Callable[[int], list[Member]] = lambda version: []
     cache: PieceCache = field(factory=PieceCache)
     origin_bytes: int = 0
     origin_calls: int = 0
     peer_bytes: int = 0
+    agent_bytes: int = 0
     _pulling: set[tuple[str, int, int]] = field(factory=set)
     _listing: set[tuple[str, int]] = field(factory=set)
+    _agent_lanes: Semaphore = field(factory=lambda: Semaphore(AGENT_LANES))
     _peer_lanes: Semaphore = field(factory=lambda: Semaphore(PEER_LANES))
     _origin_lanes: Semaphore = field(factory=lambda: Semaphore(ORIGIN_LANES))
 
@@ -172,6 +178,8 @@
 
     def _pull(self, pieces: PieceList, index: int) -> None:
         try:
+            if self._pull_from_agent(pieces, index):
+                return
             for _ in range(PEER_TRIES):
                 source = self._member(self._plan().fetcher(index))
                 if source is None:
@@ -195,6 +203,26 @@
         finally:
             self._pulling.discard((pieces.model, pieces.version, index))
 
+    def _pull_from_agent(self, pieces: PieceList, index: int) -> bool:
+        """Pull a piece of a version in force from an engine nearby that serves it."""
+        agents = self.serving_agents(pieces.version)
+        if not agents:
+            return False
+        source = agents[index % len(agents)]
+        link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
+        try:
+            with self._agent_lanes:
+                body = pull_piece_in_slices(
+                    link, pieces.model, pieces.version, index, 0.0, link_bytes_per_s=0.0
+                )
+        except PeerError as error:
+            log_event(_logger, WeightSourceFailed(source.id, str(error)))
+            return False
+        finally:
+            link.close()
+        self.agent_bytes += len(body or b"")
+        return body is not None and self.cache.put(pieces, index, body)
+
     def _pull_from_peer(self, pieces: PieceList, index: int, source: Member) -> bool:
         link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
         try:
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -10,6 +10,7 @@
 from eventlet.queue import Empty, Queue
 
 from daisystack.backends import BackendError, LocalEngine
+from daisystack.core.addresses import parse_address
 from daisystack.core.direct_settings import Place, WeightAgentSettings
 from daisystack.core.engine_news import EngineNews
 from daisystack.core.membership import Member, MemberRole
@@ -36,13 +37,14 @@
     WeightsStaged,
 )
 from daisystack.runtime.logs import log_event
+from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
-from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.peer_link import PeerError, PeerLink, serve_peers
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
 from daisystack.runtime.tasks import run_steps
 
-__all__ = ["WeightAgent"]
+__all__ = ["StagedPieces", "WeightAgent"]
 
 # The engine's own report is fresh and free to its own machine.
 WATCH_S = 0.1
@@ -99,13 +101,23 @@
     def __attrs_post_init__(self) -> None:
         place = self.settings.place
         own = Member(
-            place.id, new_incarnation(), MemberRole.AGENT, "", "", "", place.zone, place.region
+            id=place.id,
+            incarnation=new_incarnation(),
+            role=MemberRole.AGENT,
+            peer_address=self.settings.peer_address,
+            # Which engine it stands beside.
+            caller_address=self.settings.engine_address,
+            news_address="",
+            zone=place.zone,
+            region=place.region,
         )
         self.mesh = MeshTask(own, place.seeds, (), lambda mirror, changes: None)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
     def start(self) -> None:
         """Start the tasks."""
+        handler = MeshHandler(self.mesh, StagedPieces(self))
+        serve_peers(parse_address(self.settings.peer_address), handler)
         self.mesh.start()
         eventlet.spawn(run_steps, "engine watch", self._watch)
         eventlet.spawn(run_steps, "engine fill", self._fill)
@@ -348,3 +360,25 @@
         until_s = self.mesh.targets.old_until_s(model, serving, self.settings.version_bound_s)
         plan = RollPlan(self.settings.engine_address, engines, until_s)
         return order_time_s(plan, ready_s)
+
+
+@define(eq=False)
+class StagedPieces:
+    """Hand out what lies staged beside an engine, unverified, while the engine serves it."""
+
+    agent: WeightAgent
+
+    def digests(self, model: str, version: int) -> list[str]:
+        """Return nothing: entries know the digests."""
+        return []
+
+    def piece(self, model: str, version: int, index: int, wait_s: float) -> bytes | None:
+        """Return a piece as it lies there now, None when another version is served."""
+        state = self.agent.state
+        if state is None or state.version != version:
+            return None
+        try:
+            return self.agent.engine.read_staged(model, index)
+        except BackendError as error:
+            log_event(_logger, WeightSourceFailed("engine", str(error)))
+            return None
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -18,7 +18,7 @@
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.peer_link import serve_peers
 from daisystack.runtime.piece_task import PieceTask
-from daisystack.runtime.weight_agent import WeightAgent
+from daisystack.runtime.weight_agent import StagedPieces, WeightAgent
 from daisystack.testing.scripted import free_address
 
 BOUND_S = 8.0
@@ -117,7 +117,9 @@
         )
         serve_peers(parse_address(address), MeshHandler(mesh, self.pieces))
         place = Place("a1", "z1", "r1", (address,))
-        settings = WeightAgentSettings(place, free_address(), "pool", 0.0, "", BOUND_S, 8.0)
+        settings = WeightAgentSettings(
+            place, free_address(), free_address(), "pool", 0.0, "", BOUND_S, 8.0
+        )
         self.agent = WeightAgent(settings, engine)
         self.agent.mesh.membership.heard(member, 0.0, now_s() + 60.0)
         self.want(version)
@@ -237,6 +239,40 @@
         self.assert_whole(engine, 2)
 
 
+class TestServingAgents(unittest.TestCase):
+    def build(self, version=1):
+        serving = Site(FakeEngine(version=1, pieces={i: body_of(1, i) for i in range(PIECES)}))
+        serving.agent.state = serving.engine.state()
+        address = serving.agent.settings.peer_address
+        serve_peers(
+            parse_address(address), MeshHandler(serving.agent.mesh, StagedPieces(serving.agent))
+        )
+        member = Member("a0", "i0", MemberRole.AGENT, address, "", "", "z1", "r1")
+        empty = FakeEngine()
+        site = Site(empty, version=version)
+        site.pieces.serving_agents = lambda wanted: [member] if wanted == 1 else []
+        return serving, site
+
+    def test_a_version_in_force_comes_from_engines_nearby_and_not_from_the_origin(self):
+        _, site = self.build()
+        site.run()
+        self.assertEqual(site.engine.loaded[-1][0], 1)
+        self.assertEqual(site.origin.calls, [])
+
+    def test_rotten_pieces_there_are_replaced_from_the_origin(self):
+        serving, site = self.build()
+        serving.engine.pieces[2] = b"rotten"
+        site.run()
+        self.assertEqual(site.origin.calls, [(1, 2)])
+        self.assertEqual(site.engine.loaded[-1][1][2], body_of(1, 2))
+
+    def test_an_agent_hands_out_only_what_its_engine_serves(self):
+        serving, _ = self.build()
+        staged = StagedPieces(serving.agent)
+        self.assertIsNone(staged.piece("m", 2, 0, 0.0))
+        self.assertEqual(staged.piece("m", 1, 0, 0.0), body_of(1, 0))
+
+
 class TestTurn(unittest.TestCase):
     def test_an_engine_that_serves_waits_for_its_turn(self):
         engine = FakeEngine(version=1)
