Bring the pieces of a version whoever tells of it first

Change: the mesh tells the same listeners as the store does. The first round of news goes out at once after a start. Test: red before, green after.

--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -98,7 +98,9 @@
             lambda member_id: self.mesh.membership.silent(member_id),
             self._serving_agents,
         )
+        # Whoever tells of a version first, its pieces are brought at once.
         self.published.on_target.append(self.pieces.wanted)
+        self.mesh.on_target.append(self.pieces.wanted)
         self.requests = self._make_requests(hold)
         address = parse_address(self.settings.caller_address)
         self.server = CallerServer(
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -27,6 +27,7 @@
     "SettingsKept",
     "SettingsReloaded",
     "TargetTaken",
+    "TargetTold",
     "UpstreamChanged",
     "UpstreamGone",
     "WeightSourceFailed",
@@ -294,3 +295,12 @@
     """Log that changed settings are faulty and the former ones stay."""
 
     faults: str
+
+
+@frozen
+class TargetTold:
+    """Log that a peer told of another version of a model's weights."""
+
+    model: str
+    version: int
+    peer: str
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -15,7 +15,7 @@
 from daisystack.core.mirror import Mirror
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.events import PeerHeard, PeerSilent
+from daisystack.runtime.events import PeerHeard, PeerSilent, TargetTold
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.peer_link import PeerError, PeerLink
 from daisystack.runtime.tasks import attempt, run_steps
@@ -56,7 +56,7 @@
     )
     engines: EngineBoard = field(factory=EngineBoard)
     targets: Targets = field(factory=Targets)
-    on_target: Callable[[WeightTarget], None] = lambda target: None
+    on_target: list[Callable[[WeightTarget], None]] = field(factory=list)
     membership: Membership = field(init=False)
     exchanges: int = 0
     _links: dict[str, PeerLink] = field(factory=dict)
@@ -136,7 +136,9 @@
             learned_s = LONG_AGO_S if told.age_ms < 0 else at_s - told.age_ms / MS_PER_S
             target = WeightTarget(told.model, told.version)
             if self.targets.take(target, learned_s):
-                self.on_target(target)
+                log_event(_logger, TargetTold(target.model, target.version, sender.id))
+                for listener in self.on_target:
+                    listener(target)
         self._compare_mirrors(news, asked_s)
 
     def _compare_mirrors(self, news: ttypes.MeshNews, asked_s: float | None) -> None:
@@ -167,9 +169,9 @@
             self.spread()
 
     def _round(self) -> None:
-        eventlet.sleep(ROUND_S * random.uniform(0.85, 1.15))
         self._notice_pause(now_s())
         self.spread(is_urgent=False)
+        eventlet.sleep(ROUND_S * random.uniform(0.85, 1.15))
 
     def _choose(self, is_urgent: bool) -> list[str]:
         entries = self.membership.members(MemberRole.ENTRY)
--- /dev/null
+++ b/daisystack/tests/test_direct_entry.py
@@ -0,0 +1,65 @@
+"""An entry put together: what one part learns reaches the others."""
+
+import unittest
+from unittest import mock
+
+from daisystack.core.direct_settings import DirectEntrySettings, Place
+from daisystack.core.membership import Member, MemberRole
+from daisystack.core.mirror import Change
+from daisystack.core.targets import WeightTarget
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.direct_entry import DirectEntry
+from daisystack.runtime.piece_task import PieceTask
+from daisystack.testing.direct import PlainDialect
+from daisystack.testing.scripted import free_address
+from daisystack.wire import mesh
+from daisystack.wire.gen import ttypes
+
+
+class Reader:
+    """Read versions of weights only."""
+
+    def read(self, change):
+        return WeightTarget("m", int(change.value))
+
+    def upstream_id(self, key):
+        return None
+
+
+def build_entry():
+    addresses = [free_address() for _ in range(6)]
+    settings = DirectEntrySettings(
+        Place("e1", "z1", "r1", ()), *addresses, 1.0, 8.0, 5.0, 8.0, 0.2, 100.0, 10.0
+    )
+    return DirectEntry(settings, "op/", "up/", None, Reader(), PlainDialect(), None)
+
+
+def build_news(version, age_ms=100):
+    sender = Member("e2", "i1", MemberRole.ENTRY, "127.0.0.1:1", "", "", "z1", "r1")
+    targets = [ttypes.TargetNews("m", version, age_ms)]
+    return ttypes.MeshNews(mesh.member_to_wire(sender, 0.0), [], [], [], [], [], targets)
+
+
+class TestTargets(unittest.TestCase):
+    def test_pieces_are_brought_whoever_tells_of_a_version_first(self):
+        for first in ("store", "peer"):
+            with self.subTest(first), mock.patch.object(PieceTask, "wanted") as wanted:
+                entry = build_entry()
+                if first == "peer":
+                    entry.mesh.take_news(build_news(2), now_s())
+                entry.published.take(entry.mirrors["op/"], [Change("op/v", 2, b"2")])
+                entry.mesh.take_news(build_news(2), now_s())
+                wanted.assert_called_once_with(WeightTarget("m", 2))
+
+
+class TestReadiness(unittest.TestCase):
+    def test_an_entry_that_knows_nothing_is_not_ready_and_names_nobody(self):
+        entry = build_entry()
+        self.assertFalse(entry.is_ready)
+        self.assertEqual(entry.addresses_for("z1"), [])
+
+    def test_an_entry_that_leaves_is_not_ready(self):
+        entry = build_entry()
+        entry.leave()
+        self.assertTrue(entry.mesh.own.is_leaving)
+        self.assertFalse(entry.is_ready)
