Leave no reader behind a closed listener in tests; let a stopping entry a moment to be seen

Two: readiness was asked within 0.1 s of SIGTERM, which the entry looks for ten times a second; the platform asks once a second.

Product code is untouched.

--- a/daisystack/testing/scripted.py
+++ b/daisystack/testing/scripted.py
@@ -113,14 +113,17 @@
     closed_by_peer: int = 0
     address: str = field(init=False)
     _listener: socket.socket = field(init=False)
+    _acceptor: eventlet.greenthread.GreenThread = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        eventlet.spawn(self._accept)
+        self._acceptor = eventlet.spawn(self._accept)
 
     def close(self) -> None:
         """Stop listening."""
+        # A reader left behind would meet whatever is opened next under the same number.
+        self._acceptor.kill()
         self._listener.close()
 
     def _accept(self) -> None:
--- a/daisystack/tests/on_platform/demo.py
+++ b/daisystack/tests/on_platform/demo.py
@@ -14,6 +14,8 @@
 __all__ = ["main"]
 
 VERSION_WITHIN_S = 8.0
+# The platform asks once a second.
+NOT_READY_WITHIN_S = 1.0
 
 
 @define
@@ -60,6 +62,7 @@
     site.wait_for(lambda: len(site.addresses(1)) == site.entries)
     site.processes.terminate("entry-1")
     table.row("served by an entry that stops", site.call(1, "POST", "/post/2").status, 200)
+    site.wait_for(lambda: not site.is_ready(1), NOT_READY_WITHIN_S)
     table.row("and it is no longer ready", site.is_ready(1), False)
     status = site.processes.running["entry-1"].wait()
     table.row("it ends by itself", status, 0)
