--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -24,10 +24,13 @@
 
 @frozen
 class Snapshot:
-    """Hold all keys under the prefix, read linearizably; asked_s is when the read was sent."""
+    """Hold all keys under the prefix, read linearizably at a revision of the store.
+
+    asked_s is when the read was sent.
+    """
 
     changes: tuple[Change, ...]
-    as_of: int
+    revision: int
     asked_s: float
 
 
@@ -78,9 +81,9 @@
 
     def take_snapshot(self, snapshot: Snapshot) -> list[Change]:
         """Take a linearizable read and return what it changed."""
-        if snapshot.as_of < self.complete_revision:
+        if snapshot.revision < self.complete_revision:
             return []
-        changed = self._take_whole(snapshot.changes, snapshot.as_of)
+        changed = self._take_whole(snapshot.changes, snapshot.revision)
         self.confirmed_s = max(self.confirmed_s, snapshot.asked_s)
         return changed
 
@@ -114,16 +117,16 @@
         changes += [Change(k, r, None) for k, r in self._deletions.items() if r > revision]
         return Delta(tuple(changes), self.complete_revision, self.age_s(now_s), False)
 
-    def _take_whole(self, changes: tuple[Change, ...], as_of: int) -> list[Change]:
+    def _take_whole(self, changes: tuple[Change, ...], revision: int) -> list[Change]:
         changed = [change for change in changes if self._take(change)]
         present = {change.key for change in changes}
         # A key written after the read was answered is not in it and stays.
-        gone = [c for c in self._known.values() if c.key not in present and c.revision <= as_of]
+        gone = [c for c in self._known.values() if c.key not in present and c.revision <= revision]
         for change in gone:
-            deletion = Change(change.key, as_of, None)
+            deletion = Change(change.key, revision, None)
             self._take(deletion)
             changed.append(deletion)
-        self.complete_revision = max(self.complete_revision, as_of)
+        self.complete_revision = max(self.complete_revision, revision)
         return changed
 
     def _take(self, change: Change) -> bool:
--- a/daisystack/core/retries.py
+++ b/daisystack/core/retries.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-__all__ = ["Budget", "RetryBudget", "WindowedBudget"]
+__all__ = ["Budget", "RetryBudget", "ServiceBudgets", "WindowedBudget"]
 
 # Keeps the sum over all entries below the published bound while counts of entries differ.
 SAFETY_SHARE = 0.7
@@ -76,3 +76,30 @@
         for times in (self._firsts_s, self._retries_s):
             while times and times[0] < now_s - self.window_s:
                 times.popleft()
+
+
+@define
+class ServiceBudgets:
+    """Hold a windowed budget for each service that an entry sends to."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    _budgets: dict[str, WindowedBudget] = field(factory=dict)
+
+    def earn(self, service: str, now_s: float) -> None:
+        """Count a first attempt."""
+        self._of(service).earn(now_s)
+
+    def take(self, service: str, entries: int, now_s: float) -> bool:
+        """Spend one retry if the window has it."""
+        return self._of(service).take(entries, now_s)
+
+    def left(self, entries: int, now_s: float) -> float:
+        """Return the retries that the most used budget still allows."""
+        return min((b.left(entries, now_s) for b in self._budgets.values()), default=0.0)
+
+    def _of(self, service: str) -> WindowedBudget:
+        if service not in self._budgets:
+            self._budgets[service] = WindowedBudget(self.ratio, self.slack, self.window_s)
+        return self._budgets[service]
--- a/daisystack/runtime/caller_http.py
+++ b/daisystack/runtime/caller_http.py
@@ -21,6 +21,8 @@
 __all__ = ["CallerGone", "CallerServer", "InboundRequest", "Responder"]
 
 READ_BYTES = 65_536
+# Lets connections end before the next one is accepted.
+ACCEPT_PAUSE_S = 0.01
 # The kernel's queue of connections that are not yet accepted.
 BACKLOG = 1024
 # A caller that takes nothing of its answer for this long is treated as gone.
@@ -71,13 +73,6 @@
     body: bytes
     arrived_s: float
 
-    def header(self, name: bytes) -> str | None:
-        """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return None
-
 
 @define(eq=False)
 class Responder:
@@ -142,7 +137,7 @@
             except OSError as error:
                 # Out of descriptors, or the caller has gone already.
                 log_event(_logger, CallerRefused(0, f"accept: {error}"))
-                eventlet.sleep(0.01)
+                eventlet.sleep(ACCEPT_PAUSE_S)
                 continue
             self.accepted += 1
             eventlet.spawn(self._serve, sock)
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -41,8 +41,13 @@
 
 # A zone's own entries are enough when one may fail and another still serves.
 MIN_NEAR_ENTRIES = 2
+# Every entry reads for itself once its beliefs are as old as the third reader's may be.
+LAST_READER_RANK = 2
 # A key must be confirmed this much sooner than the bound, for the time a request is under way.
 KEY_MARGIN_S = 0.6
+STOP_POLL_S = 0.02
+# Callers keep an answer of the directory for so many of its lifetimes.
+HELD_LIFETIMES = 3
 # The share of the grace in which everything in progress must have ended.
 STOP_SHARE = 0.95
 
@@ -180,12 +185,12 @@
         log_event(_logger, DaemonStopping(self.server.in_progress, self.settings.stop_grace_s))
         asked_s = now_s()
         last_s = self.settings.stop_grace_s * STOP_SHARE
-        linger_s = min(last_s, 3 * self.settings.address_lifetime_s)
+        linger_s = min(last_s, HELD_LIFETIMES * self.settings.address_lifetime_s)
         while now_s() - asked_s < linger_s:
-            eventlet.sleep(0.05)
+            eventlet.sleep(STOP_POLL_S)
         self.server.close_idle()
         while self.server.in_progress and now_s() - asked_s < last_s:
-            eventlet.sleep(0.02)
+            eventlet.sleep(STOP_POLL_S)
         log_event(_logger, DaemonStopped(self.server.in_progress))
 
     def stop_times(self) -> StopTimes | None:
@@ -238,11 +243,11 @@
         return 1 + len(self.mesh.membership.members(MemberRole.ENTRY))
 
     def _reader_rank(self) -> int:
-        """Return the own place among the live entries of the zone that may read the store."""
+        """Return the own place among the live entries of the zone, at most LAST_READER_RANK."""
         place = self.settings.place
         near = [m.id for m in self.mesh.live_entries(now_s()) if m.zone == place.zone]
         ranked = rank_members(f"reader/{place.zone}", [place.id, *near])
-        return min(2, ranked.index(place.id))
+        return min(LAST_READER_RANK, ranked.index(place.id))
 
     def _samples(self) -> list[Sample]:
         at_s = now_s()
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -38,13 +38,6 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
-    def header(self, name: bytes) -> str | None:
-        """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return None
-
 
 @define(eq=False)
 class DirectExchange:
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -22,7 +22,7 @@
     GiveUp,
     RequestState,
 )
-from daisystack.core.retries import WindowedBudget
+from daisystack.core.retries import ServiceBudgets
 from daisystack.core.returning import ReturnWatch
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
@@ -34,6 +34,7 @@
 from daisystack.runtime.events import AttemptEnded, DirectRequestEnded
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.published import PublishedState
+from daisystack.runtime.request_story import RequestStory
 
 __all__ = ["DirectRequests", "DirectSettings"]
 
@@ -41,6 +42,12 @@
 CRASH_PROBE_S = 0.1
 # Another entry serves at once.
 RETRY_NOW_S = 0.02
+# Full upstreams free a place each tenth of a second; callers that return together would all
+# find them full again.
+RETRY_SOON_MIN_S = 0.3
+RETRY_SOON_MAX_S = 0.9
+# What is missing altogether is back after some rounds of news, or an engine's load.
+RETRY_LATER_S = 1.0
 # The time by which an attempt is cut short so that the answer still reaches the caller in time.
 ANSWER_MARGIN_S = 0.02
 
@@ -69,24 +76,6 @@
         self.retry_after_s = retry_after_s
 
 
-@define(eq=False)
-class _Story:
-    """Gather what the log line of a request says."""
-
-    inbound: InboundRequest
-    request_id: str = ""
-    workspace: str = ""
-    route: str = ""
-    service: str = ""
-    attempts: int = 0
-    upstream: str = ""
-    spent_s: float = 0.0
-    prompt_tokens: int = -1
-    in_flight: int = -1
-    predicted_s: float = -1.0
-    first_event_s: float = -1.0
-
-
 @define(eq=False)
 class DirectRequests:
     """Own the requests in progress at one entry."""
@@ -102,13 +91,19 @@
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
     on_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt: Callable[[AttemptEnded], None] = lambda event: None
-    _budgets: dict[str, WindowedBudget] = field(factory=dict)
+    _budgets: ServiceBudgets = field(init=False)
     _returns: ReturnWatch = field(factory=ReturnWatch)
     _draw: random.Random = field(factory=random.SystemRandom)
 
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self._budgets = ServiceBudgets(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+
     def handle(self, inbound: InboundRequest, responder: Responder) -> None:
         """Answer one request of a caller."""
-        story = _Story(inbound)
+        story = RequestStory(inbound)
         try:
             self._run(inbound, responder, story)
         except _Answered as answered:
@@ -119,7 +114,7 @@
             self._log(story, "caller_gone", 0, verdict, str(gone))
             raise
 
-    def _run(self, inbound: InboundRequest, responder: Responder, story: _Story) -> None:
+    def _run(self, inbound: InboundRequest, responder: Responder, story: RequestStory) -> None:
         policy = self._policy()
         request = self._read(inbound, story)
         route = policy.find_route(request.host, request.path)
@@ -139,7 +134,7 @@
             max_attempts=max(1, route.max_attempts),
             has_owner=False,
         )
-        self._budget(service).earn(now_s())
+        self._budgets.earn(service, now_s())
         attempt = DirectAttempt(self.dialect, request, route, responder, state.deadline_s)
         self._attempt_until_done(request, route, service, state, attempt, story)
 
@@ -150,7 +145,7 @@
         service: str,
         state: RequestState,
         attempt: DirectAttempt,
-        story: _Story,
+        story: RequestStory,
     ) -> None:
         while True:
             try:
@@ -164,7 +159,7 @@
             story.attempts += 1
             story.upstream = upstream.id
             outcome = self._attempt(request, route, attempt, upstream, workspace, story)
-            step = state.after(outcome, _Spend(self, service), now_s())
+            step = state.after(outcome, _Spend(self._budgets, service, self.entries()), now_s())
             if isinstance(step, Done):
                 self._log(story, "served", attempt.status, Verdict.RAN, "")
                 return
@@ -175,10 +170,10 @@
     def _policy(self) -> TrafficPolicy:
         policy = self.published.policy
         if policy is None:
-            raise _Answered(503, "no configuration is known yet", 1.0)
+            raise _Answered(503, "no configuration is known yet", RETRY_LATER_S)
         return policy
 
-    def _read(self, inbound: InboundRequest, story: _Story) -> DirectRequest:
+    def _read(self, inbound: InboundRequest, story: RequestStory) -> DirectRequest:
         try:
             request = self.dialect.read_request(
                 inbound.method, inbound.target, inbound.headers, inbound.body, inbound.arrived_s
@@ -200,7 +195,7 @@
             raise _Answered(401, "no workspace holds this key")
         age_s = self.mirror.age_s(now_s())
         if age_s > self.settings.max_key_age_s:
-            raise _Answered(503, f"keys were confirmed {age_s:.1f} s ago", 1.0)
+            raise _Answered(503, f"keys were confirmed {age_s:.1f} s ago", RETRY_LATER_S)
         return workspace
 
     def _check_stop(self, route: Route, request: DirectRequest) -> None:
@@ -220,7 +215,7 @@
         service: str,
         state: RequestState,
         attempt: DirectAttempt,
-        story: _Story,
+        story: RequestStory,
     ) -> DirectUpstream:
         at_s = now_s()
         if at_s >= state.deadline_s:
@@ -261,7 +256,7 @@
         attempt: DirectAttempt,
         upstream: DirectUpstream,
         workspace: Workspace | None,
-        story: _Story,
+        story: RequestStory,
     ) -> AttemptOutcome:
         begun_s = now_s()
         in_flight = self.placement.in_flight(upstream.id, begun_s)
@@ -315,7 +310,7 @@
         self.hold.died(_fingerprint(request), now_s())
 
     def _end_unsent(
-        self, answered: _Answered, state: RequestState, attempt: DirectAttempt, story: _Story
+        self, answered: _Answered, state: RequestState, attempt: DirectAttempt, story: RequestStory
     ) -> None:
         """End a request that is not sent to another upstream any more."""
         if attempt.has_begun:
@@ -329,30 +324,37 @@
             self._fail(attempt, story, state.verdict, status, answered.reason)
 
     def _give_up(
-        self, step: GiveUp, state: RequestState, attempt: DirectAttempt, story: _Story
+        self, step: GiveUp, state: RequestState, attempt: DirectAttempt, story: RequestStory
     ) -> None:
         retry_after_s = self._retry_after_s(Refusal(step.reason, True))
         self._end_unsent(_Answered(503, step.reason, retry_after_s), state, attempt, story)
 
     def _retry_after_s(self, refusal: Refusal) -> float:
         # Spread, so that those turned away together don't come back together.
-        return self._draw.uniform(0.3, 0.9) if refusal.is_full else 1.0
+        if not refusal.is_full:
+            return RETRY_LATER_S
+        return self._draw.uniform(RETRY_SOON_MIN_S, RETRY_SOON_MAX_S)
 
-    def _pass_failure_on(self, attempt: DirectAttempt, story: _Story) -> None:
+    def _pass_failure_on(self, attempt: DirectAttempt, story: RequestStory) -> None:
         attempt.pass_failure_on()
         self._log(story, "failed_by_upstream", attempt.status, Verdict.RAN, "")
 
-    def _break_off(self, attempt: DirectAttempt, story: _Story, reason: str) -> None:
+    def _break_off(self, attempt: DirectAttempt, story: RequestStory, reason: str) -> None:
         # The missing end of the body tells the caller that the answer is not whole.
         self._log(story, "broken_off", attempt.status, Verdict.MAY_HAVE_RUN, reason)
 
     def _fail(
-        self, attempt: DirectAttempt, story: _Story, verdict: Verdict, status: int, reason: str
+        self,
+        attempt: DirectAttempt,
+        story: RequestStory,
+        verdict: Verdict,
+        status: int,
+        reason: str,
     ) -> None:
         self._answer(attempt.responder, story, _Answered(status, reason))
         self._log(story, "failed", status, verdict, reason)
 
-    def _answer(self, responder: Responder, story: _Story, answered: _Answered) -> None:
+    def _answer(self, responder: Responder, story: RequestStory, answered: _Answered) -> None:
         headers = self.dialect.echo(story.request_id)
         headers.append((b"Content-Type", b"application/json"))
         if answered.retry_after_s is not None:
@@ -362,41 +364,18 @@
 
     def retries_left(self) -> float:
         """Return the retries that the most used budget still allows."""
-        at_s, entries = now_s(), self.entries()
-        return min((b.left(entries, at_s) for b in self._budgets.values()), default=0.0)
-
-    def _budget(self, service: str) -> WindowedBudget:
-        if service not in self._budgets:
-            settings = self.settings
-            self._budgets[service] = WindowedBudget(
-                settings.retry_ratio, settings.retry_slack, settings.retry_window_s
-            )
-        return self._budgets[service]
+        return self._budgets.left(self.entries(), now_s())
 
-    def _log(self, story: _Story, outcome: str, status: int, verdict: Verdict, reason: str) -> None:
+    def _log(
+        self, story: RequestStory, outcome: str, status: int, verdict: Verdict, reason: str
+    ) -> None:
         key = (outcome, status)
         self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        policy = self.published.policy
+        version = policy.version if policy else 0
         at_s = now_s()
-        event = DirectRequestEnded(
-            story.request_id,
-            story.workspace,
-            story.route,
-            story.service,
-            outcome,
-            status,
-            verdict.value,
-            reason,
-            story.spent_s,
-            story.attempts,
-            story.upstream,
-            self.published.policy.version if self.published.policy else 0,
-            self.mirror.age_s(at_s),
-            story.in_flight,
-            story.prompt_tokens,
-            story.predicted_s,
-            story.first_event_s,
-            at_s - story.inbound.arrived_s,
-        )
+        age_s = self.mirror.age_s(at_s)
+        event = story.ended(outcome, status, verdict, reason, version, age_s, at_s)
         self.on_ended(event)
         log_event(_logger, event)
 
@@ -405,13 +384,13 @@
 class _Spend:
     """Spend the retries of one service."""
 
-    requests: DirectRequests
+    budgets: ServiceBudgets
     service: str
+    entries: int
 
     def take(self) -> bool:
         """Spend one retry if the budget has it."""
-        budget = self.requests._budget(self.service)
-        return budget.take(self.requests.entries(), now_s())
+        return self.budgets.take(self.service, self.entries, now_s())
 
 
 def _fingerprint(request: DirectRequest) -> str:
--- a/daisystack/tests/test_platform.py
+++ b/daisystack/tests/test_platform.py
@@ -287,7 +287,7 @@
         found = self.read(
             self.page([self.item("op/a", 3)], 5, more=True), self.page([self.item("op/b", 7)], 8)
         )
-        self.assertEqual((found.as_of, [c.key for c in found.changes]), (5, ["op/a", "op/b"]))
+        self.assertEqual((found.revision, [c.key for c in found.changes]), (5, ["op/a", "op/b"]))
 
     def test_unreadable_bytes_are_left_to_the_key_s_reader(self):
         broken = self.item("op/a", 3) | {"value": "%%%"}
