Keep the product's own connect timeout, and wait until entries know each other in the story

One: the story asked for addresses before the two entries had heard of each other; it waits for that now.

Change: 1.0 s again there; links of the mesh alone keep 0.5 s.

--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -17,7 +17,7 @@
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import PeerHeard, PeerSilent, TargetTold
 from daisystack.runtime.logs import log_event
-from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link
 from daisystack.runtime.tasks import attempt, run_steps
 from daisystack.wire import mesh
 from daisystack.wire.gen import ttypes
@@ -154,7 +154,7 @@
                 mirror.take_confirmation(state.complete_revision, age_s, asked_s)
 
     def _pull(self, mirror: Mirror, address: str) -> None:
-        link = PeerLink(address, PEER_TIMEOUT_S)
+        link = mesh_link(address, PEER_TIMEOUT_S)
         asked_s = now_s()
         try:
             wire = link.call("mirror", mirror.prefix, mirror.complete_revision)
@@ -193,7 +193,7 @@
         return chosen
 
     def _exchange(self, address: str) -> None:
-        link = self._links.setdefault(address, PeerLink(address, PEER_TIMEOUT_S))
+        link = self._links.setdefault(address, mesh_link(address, PEER_TIMEOUT_S))
         asked_s = now_s()
         self.exchanges += 1
         try:
--- a/daisystack/runtime/peer_link.py
+++ b/daisystack/runtime/peer_link.py
@@ -15,9 +15,11 @@
 from daisystack.core.addresses import Address, parse_address
 from daisystack.wire.gen import Peer
 
-__all__ = ["PeerError", "PeerLink", "serve_peers"]
+__all__ = ["PeerError", "PeerLink", "mesh_link", "serve_peers"]
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
+# A machine that is cut off must not hold up news and pieces that others have.
+MESH_CONNECT_TIMEOUT_S = 0.5
 MS_PER_S = 1000
 
 _logger = logging.getLogger("daisystack.peers")
@@ -33,6 +35,7 @@
 
     address: str
     timeout_s: float = 2.0
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
     _transport: TFramedTransport | None = None
     _client: Peer.Client | None = None
 
@@ -60,13 +63,18 @@
     def _connect(self) -> None:
         address = parse_address(self.address)
         sock = TSocket(address.host, address.port)
-        sock.setTimeout(CONNECT_TIMEOUT_S * MS_PER_S)
+        sock.setTimeout(self.connect_timeout_s * MS_PER_S)
         self._transport = TFramedTransport(sock)
         self._transport.open()
         sock.setTimeout(self.timeout_s * MS_PER_S)
         self._client = Peer.Client(TBinaryProtocolAccelerated(self._transport))
 
 
+def mesh_link(address: str, timeout_s: float) -> PeerLink:
+    """Return a link that soon gives up on a machine that does not answer."""
+    return PeerLink(address, timeout_s, MESH_CONNECT_TIMEOUT_S)
+
+
 @define
 class _Connections:
     processor: Peer.Processor
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -17,7 +17,7 @@
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import ChunkRejected, WeightsHeld, WeightSourceFailed
 from daisystack.runtime.logs import log_event
-from daisystack.runtime.peer_link import PeerError, PeerLink
+from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link
 from daisystack.wire.gen import ttypes
 
 __all__ = ["PieceTask", "pull_piece", "pull_piece_in_slices"]
@@ -145,7 +145,7 @@
         fetcher = self._member(self._plan().fetcher(0))
         if fetcher is None:
             return None
-        link = PeerLink(fetcher.peer_address, PEER_TIMEOUT_S)
+        link = mesh_link(fetcher.peer_address, PEER_TIMEOUT_S)
         until_s = now_s() + PEER_WAIT_S
         try:
             while now_s() < until_s:
@@ -209,7 +209,7 @@
         if not agents:
             return False
         source = agents[index % len(agents)]
-        link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
+        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             with self._agent_lanes:
                 body = pull_piece_in_slices(
@@ -224,7 +224,7 @@
         return body is not None and self.cache.put(pieces, index, body)
 
     def _pull_from_peer(self, pieces: PieceList, index: int, source: Member) -> bool:
-        link = PeerLink(source.peer_address, PEER_TIMEOUT_S)
+        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
         except PeerError as error:
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -39,7 +39,7 @@
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
-from daisystack.runtime.peer_link import PeerError, PeerLink, serve_peers
+from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link, serve_peers
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
 from daisystack.runtime.tasks import run_steps
@@ -204,7 +204,7 @@
 
     def _list(self, target: WeightTarget) -> PieceList | None:
         for member in self._entries():
-            link = PeerLink(member.peer_address, PULL_TIMEOUT_S)
+            link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
             try:
                 digests = link.call("digests", target.model, target.version)
                 if digests:
@@ -281,7 +281,7 @@
         member = self._holder(index)
         if member is None:
             return False
-        link = links.setdefault(member.id, PeerLink(member.peer_address, PULL_TIMEOUT_S))
+        link = links.setdefault(member.id, mesh_link(member.peer_address, PULL_TIMEOUT_S))
         try:
             body = self._pull_from(link, pieces, index)
         except PeerError as error:
--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -61,6 +61,9 @@
         for index in range(self.models):
             self._start_program(f"agent-{index}", "agent", self._host(self.entries + index))
         self.wait_for(lambda: all(self.is_ready(i) for i in range(self.entries)))
+        # They find each other within some rounds of news.
+        everybody = range(self.entries)
+        self.wait_for(lambda: all(len(self.addresses(i)) == self.entries for i in everybody))
 
     def start_entry(self, index: int) -> None:
         """Start an entry."""
