--- a/daisystack/tests/test_caller_http.py
+++ b/daisystack/tests/test_caller_http.py
@@ -96,6 +96,21 @@
         read_all(sock)
         self.assertEqual([(r.target, r.body) for r in site.requests], [("/a", smuggled)])
 
+    def test_a_folded_header_is_one_header(self):
+        site = Site()
+        sock = site.connect()
+        sock.sendall(GET.replace(b"\r\n\r\n", b"\r\nX-A: 1\r\n 2\r\n\r\n"))
+        self.assertIn(b"200", read_until(sock, b"ok"))
+        self.assertEqual(dict(site.requests[0].headers)[b"x-a"], b"1 2")
+
+    def test_bytes_after_a_body_that_are_no_request_are_refused(self):
+        site = Site()
+        sock = site.connect()
+        sock.sendall(HEAD + b"Content-Length: 2\r\n\r\nab\x00\x01 nonsense\r\n\r\n")
+        got = read_all(sock)
+        self.assertEqual([got.count(b"HTTP/1.1 200"), got.count(b"HTTP/1.1 400")], [1, 1])
+        self.assertEqual(len(site.requests), 1)
+
     def test_chunks_and_lengths_give_the_same_body(self):
         site = Site()
         sock = site.connect()
--- /dev/null
+++ b/daisystack/tests/test_direct_parts.py
@@ -0,0 +1,108 @@
+"""Settings that change, logs that never wait, and metrics that the docs list."""
+
+import logging
+import os
+import re
+import tempfile
+import unittest
+from pathlib import Path
+
+from daisystack.core.log_budget import LogBudget
+from daisystack.core.settings import SettingsRefused
+from daisystack.runtime.logs import BURST_LINES, BoundedHandler
+from daisystack.runtime.settings_watch import SettingsWatch
+from daisystack.testing.direct import build_inbound, build_policy, build_requests, build_route
+from daisystack.tests.test_direct_entry import build_entry
+
+DOCS = Path(__file__).parent.parent.parent / "docs"
+
+
+class TestSettingsWatch(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings"
+        self.path.write_text("seeds=1")
+        self.applied = []
+        self.watch = SettingsWatch(self.path, self.apply)
+        self.watch._text = self.path.read_text()
+
+    def apply(self, text):
+        if "bad" in text:
+            raise SettingsRefused("1 setting refused", [ValueError("seeds: got bad")])
+        self.applied.append(text)
+
+    def test_a_changed_file_is_applied_once(self):
+        self.watch.look()
+        self.path.write_text("seeds=2")
+        self.watch.look()
+        self.watch.look()
+        self.assertEqual(self.applied, ["seeds=2"])
+
+    def test_a_faulty_or_missing_file_changes_nothing_and_a_good_one_follows(self):
+        self.path.write_text("seeds=bad")
+        with self.assertLogs("daisystack.settings") as logs:
+            self.watch.look()
+            self.path.unlink()
+            self.watch.look()
+        self.assertIn("seeds: got bad", str([r.faults for r in logs.records]))
+        self.path.write_text("seeds=3")
+        self.watch.look()
+        self.assertEqual(self.applied, ["seeds=3"])
+
+
+class TestLogs(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.handler = BoundedHandler(self.writer)
+
+    def emit(self, count):
+        for number in range(count):
+            record = logging.LogRecord("x", logging.INFO, "", 0, f"line {number}", (), None)
+            self.handler.emit(record)
+
+    def test_a_budget_bounds_bursts_and_the_rate(self):
+        budget = LogBudget(lines_per_s=10.0, burst_lines=5.0)
+        self.assertEqual(sum(budget.take(0.0) for _ in range(50)), 5)
+        self.assertEqual(sum(budget.take(1.0 + 0.01 * i) for i in range(100)), 5 + 9)
+        self.assertEqual(budget.take_dropped(), 45 + 86)
+
+    def test_three_times_the_volume_is_bounded_and_said(self):
+        os.set_blocking(self.reader, False)
+        self.emit(int(3 * BURST_LINES))
+        written = os.read(self.reader, 1_000_000).count(b"\n")
+        self.assertLessEqual(written, 2 * BURST_LINES)
+        self.handler.budget._saved = 2.0
+        self.emit(1)
+        self.assertIn(b"event=log_lines_left_out", os.read(self.reader, 1_000_000))
+
+    def test_a_reader_that_stands_still_holds_nobody_up(self):
+        self.handler.budget = LogBudget(1e9, 1e9)
+        self.emit(20_000)
+        self.assertGreater(self.handler.budget.dropped, 0)
+
+
+class TestRequestLines(unittest.TestCase):
+    def test_a_request_ends_with_one_line_of_what_decided_it(self):
+        from daisystack.testing.direct import RecordingResponder
+
+        requests = build_requests(build_policy(build_route()), [], confirmed_age_s=2.0)
+        with self.assertLogs("daisystack.requests") as logs:
+            requests.handle(build_inbound(daisystack_request="abc"), RecordingResponder())
+        self.assertEqual(len(logs.records), 1)
+        line = logs.records[0]
+        self.assertEqual(line.getMessage(), "direct_request_ended")
+        self.assertEqual((line.request_id, line.status, line.verdict), ("abc", 503, "not_run"))
+        self.assertEqual((line.policy_version, line.outcome), (1, "answered"))
+        self.assertGreaterEqual(line.belief_age_s, 2.0)
+
+
+class TestMetrics(unittest.TestCase):
+    def test_the_docs_list_what_is_served(self):
+        listed = set(re.findall(r"`(daisystack_[a-z_]+)", (DOCS / "OPERATIONS.md").read_text()))
+        entry = build_entry()
+        served = set(re.findall(rb"# TYPE (daisystack_[a-z_]+)", entry.metrics.text()))
+        self.assertGreater(len(served), 10)
+        self.assertEqual({name.decode() for name in served} - listed, set())
