End a version in time though the next was heard late or never, or its engine's agent is silent

Change: an older version that was learned in time ends those before it, peers tell all versions they know, one that was skipped counts as 2 s older; engines without their agent's word get nothing in the last 2.5 s. Tests: 4 red before, green after.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -38,6 +38,8 @@
 # Waits for a place vary by this factor, and the news of a version is some tenths of a second old.
 BEGIN_SLACK = 2.0
 BEGIN_MARGIN_S = 0.6
+# Without its agent's word an engine's queue is not known, and nobody orders it to load.
+BLIND_MARGIN_S = 2.5
 # A late answer is worth a quarter of one in time, so returning requests get free places only.
 RETURN_SHARE = 1.0
 # An engine's load is unknown when its agent has said nothing for this long.
@@ -280,7 +282,9 @@
         if until_s == float("inf"):
             return True
         expected_s = self.predict_s(upstream, wish, now_s) or 0.0
-        return now_s + BEGIN_SLACK * expected_s + BEGIN_MARGIN_S <= until_s
+        is_seen = self._load_news(upstream.id, now_s) is not None
+        margin_s = BEGIN_MARGIN_S if is_seen else BLIND_MARGIN_S
+        return now_s + BEGIN_SLACK * expected_s + margin_s <= until_s
 
     def _has_room(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
         if self.in_flight(upstream.id, now_s) >= _most_requests(upstream):
--- a/daisystack/core/targets.py
+++ b/daisystack/core/targets.py
@@ -7,6 +7,8 @@
 __all__ = ["LONG_AGO_S", "Targets", "WeightTarget"]
 
 LONG_AGO_S = float("-inf")
+# A process in touch learns of a version within this, so one that it never saw is no older.
+SKIPPED_MARGIN_S = 2.0
 
 
 @frozen
@@ -24,16 +26,32 @@
     _learned_s: dict[str, dict[int, float]] = field(factory=dict)
 
     def take(self, target: WeightTarget, learned_s: float) -> bool:
-        """Take a target; one found at start was learned at LONG_AGO_S."""
-        if target.version <= self.version(target.model):
-            return False
-        self._learned_s.setdefault(target.model, {})[target.version] = learned_s
-        return True
+        """Take a target and say whether it is the newest; one found at start is from LONG_AGO_S.
+
+        An older version that a peer learned in time ends the ones before it all the same.
+        """
+        newest = self.version(target.model)
+        learned = self._learned_s.setdefault(target.model, {})
+        if target.version > newest + 1 and newest > 0 and learned_s != LONG_AGO_S:
+            # What came between was named at some time before.
+            learned.setdefault(newest + 1, learned_s - SKIPPED_MARGIN_S)
+        known_s = learned.get(target.version)
+        if known_s is None or LONG_AGO_S < learned_s < known_s:
+            learned[target.version] = learned_s
+        return target.version > newest
 
     def version(self, model: str) -> int:
         """Return the wanted version, 0 when none is known."""
         return max(self._learned_s.get(model, ()), default=0)
 
+    def told(self) -> list[tuple[WeightTarget, float]]:
+        """Return all known versions and when they were learned, for peers."""
+        return [
+            (WeightTarget(model, version), learned_s)
+            for model, learned in self._learned_s.items()
+            for version, learned_s in sorted(learned.items())
+        ]
+
     def all(self) -> list[WeightTarget]:
         """Return the version wanted of each model."""
         return [WeightTarget(model, self.version(model)) for model in self._learned_s]
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -104,8 +104,8 @@
         ]
         engines = [mesh.engine_to_wire(news, at_s) for news in self.engines.told(at_s)]
         targets = [
-            ttypes.TargetNews(t.model, t.version, _ms_or_never(self.targets.age_s(t.model, at_s)))
-            for t in self.targets.all()
+            ttypes.TargetNews(target.model, target.version, _ms_or_never(at_s - learned_s))
+            for target, learned_s in self.targets.told()
         ]
         sender = mesh.member_to_wire(self.own, 0.0)
         return ttypes.MeshNews(sender, members, states, counts, engines, crashes, targets)
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -83,6 +83,28 @@
         ends_s = [targets.old_until_s("m", version, 8.0) for version in (0, 1, 2, 3)]
         self.assertEqual(ends_s, [LONG_AGO_S, 18.0, 20.0, float("inf")])
 
+    def test_an_older_version_learned_late_ends_those_before_it(self):
+        """Two versions two seconds apart: a peer tells the second before the first is heard."""
+        targets = Targets()
+        targets.take(WeightTarget("m", 1), LONG_AGO_S)
+        self.assertTrue(targets.take(WeightTarget("m", 3), 12.0))
+        self.assertFalse(targets.take(WeightTarget("m", 2), 9.5))
+        self.assertEqual(targets.old_until_s("m", 1, 8.0), 17.5)
+        self.assertEqual(targets.version("m"), 3)
+
+    def test_a_version_that_was_never_seen_ends_those_before_it(self):
+        targets = Targets()
+        targets.take(WeightTarget("m", 1), LONG_AGO_S)
+        targets.take(WeightTarget("m", 3), 12.0)
+        self.assertLessEqual(targets.old_until_s("m", 1, 8.0), 18.0)
+
+    def test_the_earliest_word_of_a_version_counts_and_a_restarted_peer_s_does_not(self):
+        targets = Targets()
+        targets.take(WeightTarget("m", 1), LONG_AGO_S)
+        for learned_s in (12.0, 10.0, LONG_AGO_S, 11.0):
+            targets.take(WeightTarget("m", 2), learned_s)
+        self.assertEqual(targets.old_until_s("m", 1, 8.0), 18.0)
+
     def test_a_target_found_at_start_may_be_long_in_force(self):
         targets = Targets()
         targets.take(WeightTarget("m", 2), LONG_AGO_S)
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -159,6 +159,13 @@
                     found = placement.choose(wish, now_s)
                     self.assertEqual(not isinstance(found, Refusal), able)
 
+    def test_an_engine_whose_agent_is_silent_gets_nothing_near_the_end(self):
+        """Agents killed during a roll: the queue of their engines is not known."""
+        wish = attrs.evolve(PROMPT, old_until_s=lambda version: 8.0)
+        for now_s, able in [(5.0, True), (6.0, False)]:
+            found = build_pool(build_engine("a")).choose(wish, now_s)
+            self.assertEqual(not isinstance(found, Refusal), able)
+
     def test_a_second_version_does_not_end_the_first_one_s_time(self):
         """Two versions named two seconds apart: engines of the first serve until their own end."""
         placement = build_pool(build_engine("a", version=1))
