Send nothing to an old engine that may wait a second longer than predicted

Change: 1.2 s of margin in place of 0.6. The test of the end of a roll is stricter by as much: red before, green after.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -35,9 +35,10 @@
 OBJECTIVE_SLACK = 0.7
 # Each second that a request keeps an engine from loading is a second of its other places.
 OVERRUN_COST = 0.5
-# Waits for a place vary by this factor, and the news of a version is some tenths of a second old.
+# Waits for a place vary by this factor. When many entries find an engine idle at once, as after a
+# pause of its machine, their requests wait up to a second longer than predicted.
 BEGIN_SLACK = 2.0
-BEGIN_MARGIN_S = 0.6
+BEGIN_MARGIN_S = 1.2
 # Without its agent's word an engine's queue is not known, and nobody orders it to load.
 BLIND_MARGIN_S = 2.5
 # A late answer is worth a quarter of one in time, so returning requests get free places only.
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -149,11 +149,11 @@
 
     def test_nothing_is_sent_that_may_begin_after_the_old_version_s_time(self):
         """End of a roll: the fuller an engine of the old version, the earlier it gets no more."""
-        for running, queued, last_s in [(0, 0, 7.0), (15, 2, 6.2)]:
+        for running, queued, last_s in [(0, 0, 6.4), (15, 2, 5.6)]:
             with self.subTest(running=running):
                 placement = build_pool(build_engine("a"))
                 wish = attrs.evolve(PROMPT, first_event_s=None, old_until_s=lambda version: 8.0)
-                for now_s, able in [(last_s, True), (7.35, False)]:
+                for now_s, able in [(last_s, True), (6.9, False)]:
                     news = build_news("a", now_s, running=running, queued=queued)
                     placement.engines.heard(news)
                     found = placement.choose(wish, now_s)
