Wait for a request's line in the process test

The test read the log when the answer came, and the line is written after the answer is out. Change: the test waits for the line, with the site's bound. Conclusion: a race of the test.

--- a/daisystack/tests/test_platform_site.py
+++ b/daisystack/tests/test_platform_site.py
@@ -28,6 +28,8 @@
 
     def test_a_request_can_be_followed_by_its_id(self):
         self.site.call(0, "POST", "/post/1")
+        # The line is written once the answer is out.
+        self.site.wait_for(lambda: "request_id=r1 " in self.log("entry-0"))
         line = next(x for x in self.log("entry-0").splitlines() if "request_id=r1 " in x)
         for told in ("outcome=served", "service=ledger", "upstream=plain-1", "belief_age_s="):
             self.assertIn(told, line)
