--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -133,6 +133,26 @@
         self.assertIn(("failed", 504), requests.outcomes)
 
 
+class TestExtraBytes(unittest.TestCase):
+    def test_bytes_after_an_answer_belong_to_no_request(self):
+        extra = answer(b"extra", head=MARK)
+        script = cut(answer(b"good", head=MARK) + extra)
+        responder, seen, _ = serve(RequestKind.UNSAFE, [script])
+        self.assertEqual((responder.status, responder.body, seen), (200, b"good", [1]))
+
+    def test_a_late_answer_finds_no_other_request_on_its_connection(self):
+        late = [cut(answer(b"first", head=MARK)), cut(answer(b"second", head=MARK))]
+        server = ScriptedServer(late)
+        policy = build_policy(build_route(RequestKind.UNSAFE))
+        requests = build_requests(policy, [build_upstream(address=server.address)])
+        bodies = []
+        for _ in range(2):
+            responder = RecordingResponder()
+            requests.handle(build_inbound(), responder)
+            bodies.append(responder.body)
+        self.assertEqual((bodies, server.connections), ([b"first", b"second"], 2))
+
+
 class TestAnswersWithoutLength(unittest.TestCase):
     HEAD = b"HTTP/1.1 200 OK\r\n" + MARK.encode() + b"\r\n"
 
--- a/daisystack/tests/test_platform.py
+++ b/daisystack/tests/test_platform.py
@@ -316,10 +316,11 @@
         found = KeyValueStore(server.address).watch("op/", 5, 1.0)
         self.assertEqual([(c.key, c.value) for c in found], [("op/a", b"v"), ("op/b", None)])
 
-    def test_a_watch_whose_history_is_gone_fails(self):
-        server = ScriptedServer([cut(answer(b"", "410 Gone"))])
-        with self.assertRaises(BackendError):
-            KeyValueStore(server.address).watch("op/", 5, 0.1)
+    def test_a_watch_that_is_cut_or_whose_history_is_gone_fails(self):
+        for script in (cut(answer(b"", "410 Gone")), cut(b""), cut(answer(b'{"ev', length=50))):
+            server = ScriptedServer([script])
+            with self.assertRaises(BackendError):
+                KeyValueStore(server.address).watch("op/", 5, 0.1)
 
 
 class TestHeaders(unittest.TestCase):
