--- a/daisystack/tests/test_platform.py
+++ b/daisystack/tests/test_platform.py
@@ -2,9 +2,11 @@
 
 import base64
 import json
+import os
 import re
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -150,6 +152,24 @@
         self.assertEqual(done.returncode, 2)
         self.assertIn("allowed are entry, agent", done.stderr)
 
+    def test_faulty_settings_are_all_named_and_nothing_starts(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings"
+            path.write_text(SETTINGS.replace("zone=mtl-a", "zone=").replace(":8005", ":x"))
+            for where, said in [(path, ["zone", "listen.front"]), (path / "no", ["can't start"])]:
+                done = subprocess.run(
+                    [sys.executable, "platform/serve.py", "entry"],
+                    cwd=ROOT,
+                    check=False,
+                    capture_output=True,
+                    text=True,
+                    env=os.environ | {"DAISYSTACK_SETTINGS": str(where)},
+                )
+                self.assertEqual(done.returncode, 2)
+                self.assertNotIn("Traceback", done.stderr)
+                for words in said:
+                    self.assertIn(words, done.stderr)
+
 
 class TestSettings(unittest.TestCase):
     def test_an_entry_and_an_agent_read_the_same_file(self):
