Take the process tests' ports below the ephemeral range

The site took its ports from the ephemeral range, where a connection of another test sat on one of them, so the stand-in could not bind and nothing listened for 20 s. Ruled out: load, since the other two sites of the same module came up.

Change: the first row of free ports from 25,000 on, below that range.

--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -26,6 +26,8 @@
 # Each program has a loopback address of its own, so that ports are the same everywhere.
 CALLERS, READY, PEERS, DIRECTORY, DATAGRAMS = range(10, 15)
 FIRST_HOST = 2
+# Below the ephemeral range, so that no connection of the run sits on a port of the site.
+FIRST_PORT, LAST_PORT, PORTS = 25_000, 32_000, 20
 
 
 @define
@@ -44,7 +46,7 @@
     folder: Path
     entries: int = 2
     models: int = 2
-    base_port: int = field(factory=lambda: _free_ports(100))
+    base_port: int = field(factory=lambda: _free_ports(PORTS))
     processes: Processes = field(init=False)
     _http: urllib3.PoolManager = field(factory=lambda: urllib3.PoolManager(retries=False))
     _sent: int = 0
@@ -181,8 +183,18 @@
 
 
 def _free_ports(count: int) -> int:
-    """Return the first of a row of ports that are likely free."""
+    """Return the first of a row of free ports; raises OSError when there is none."""
+    for first in range(FIRST_PORT, LAST_PORT, count):
+        if all(_is_free(port) for port in range(first, first + count)):
+            return first
+    raise OSError(f"no {count} free ports in a row from {FIRST_PORT} to {LAST_PORT}")
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port = probe.getsockname()[1]
-    return port if port + count < 60_000 else port - 2 * count
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
