--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -97,6 +97,12 @@
     is_full: bool
 
 
+@frozen
+class _Ended:
+    sent_s: float
+    at_s: float
+
+
 @define
 class _Health:
     failure_rate: float = 0.0
@@ -119,7 +125,7 @@
     figures: dict[str, EngineFigures] = field(factory=dict)
     _listed: dict[str, DirectUpstream] = field(factory=dict)
     _own: dict[str, set[Sent]] = field(factory=dict)
-    _ended_s: dict[str, list[float]] = field(factory=dict)
+    _ended: dict[str, list[_Ended]] = field(factory=dict)
     _told: dict[str, _Told] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
 
@@ -152,9 +158,10 @@
         own.discard(sent)
         if not own:
             del self._own[sent.upstream_id]
-        ended_s = self._ended_s.setdefault(sent.upstream_id, [])
-        ended_s.append(now_s)
-        self._ended_s[sent.upstream_id] = [t for t in ended_s if now_s - t <= LOAD_LIFETIME_S]
+        recent = [
+            e for e in self._ended.get(sent.upstream_id, ()) if now_s - e.at_s <= LOAD_LIFETIME_S
+        ]
+        self._ended[sent.upstream_id] = [*recent, _Ended(sent.sent_s, now_s)]
 
     def own_counts(self) -> dict[str, int]:
         """Return the own requests at each upstream, for other entries."""
@@ -182,7 +189,10 @@
         news = self._load_news(upstream_id, now_s)
         if news is not None:
             since = sum(1 for sent in own if sent.sent_s > news.read_s)
-            ended = sum(1 for t in self._ended_s.get(upstream_id, ()) if t > news.read_s)
+            # A request that came and went since was never in the report.
+            ended = sum(
+                1 for e in self._ended.get(upstream_id, ()) if e.sent_s <= news.read_s < e.at_s
+            )
             return max(len(own), news.running + news.queued + since - ended)
         others = sum(
             told.counts.get(upstream_id, 0)
--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -115,7 +115,7 @@
     """Name the holder of API keys."""
 
     name: str
-    api_keys: frozenset[str]
+    keys: frozenset[str]
     priority: int | None = None
 
 
@@ -168,5 +168,5 @@
 
 def _keys(workspaces: Iterable[Workspace]) -> Iterable[tuple[str, Workspace]]:
     for workspace in workspaces:
-        for api_key in workspace.api_keys:
+        for api_key in workspace.keys:
             yield api_key, workspace
--- a/daisystack/runtime/caller_http.py
+++ b/daisystack/runtime/caller_http.py
@@ -27,6 +27,8 @@
 SEND_TIMEOUT_S = 10.0
 # Bytes taken from a caller that sends its next request before it has this one's answer.
 MAX_EARLY_BYTES = 65_536
+# A colon, a space and the end of the line.
+HEADER_MARKS_BYTES = 4
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -233,6 +235,7 @@
             return None
         arrived_s = now_s()
         _check_framing(head)
+        _check_size(head, limits.max_head_bytes)
         self.allows_body = head.method != b"HEAD"
         body = self._read_body(limits)
         target = head.target.decode("latin-1")
@@ -325,6 +328,14 @@
             self.send(h11.EndOfMessage())
 
 
+def _check_size(head: h11.Request, max_bytes: int) -> None:
+    """Refuse a head that came whole and is over the limit all the same."""
+    size_bytes = len(head.method) + len(head.target)
+    size_bytes += sum(len(name) + len(value) + HEADER_MARKS_BYTES for name, value in head.headers)
+    if size_bytes > max_bytes:
+        raise _Refused(431, f"head is over {max_bytes} bytes")
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuse heads whose body length another parser may read differently."""
     names = [name for name, _ in head.headers]
--- /dev/null
+++ b/daisystack/testing/direct.py
@@ -0,0 +1,207 @@
+"""Build entries that send straight to scripted upstreams, with a dialect of the product's own."""
+
+from __future__ import annotations
+
+import random
+
+from attrs import frozen
+
+from daisystack.core.direct_request import DirectAnswer, DirectRequest, PromptSize
+from daisystack.core.engine_news import EngineBoard
+from daisystack.core.mirror import Mirror, Snapshot
+from daisystack.core.placement import DirectUpstream, Placement
+from daisystack.core.traffic import (
+    EngineFigures,
+    RequestKind,
+    Route,
+    Service,
+    Share,
+    TrafficPolicy,
+    Workspace,
+)
+from daisystack.runtime.caller_http import InboundRequest
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.direct_requests import DirectRequests, DirectSettings
+from daisystack.runtime.published import PublishedState
+
+__all__ = [
+    "PlainDialect",
+    "RecordingResponder",
+    "build_figures",
+    "build_inbound",
+    "build_policy",
+    "build_requests",
+    "build_route",
+    "build_upstream",
+]
+
+REQUEST_ID = b"daisystack-request"
+MARK = b"daisystack-mark"
+NOT_RUN = b"daisystack-not-run"
+VERSION = b"daisystack-version"
+
+
+@frozen
+class PlainDialect:
+    """Speak headers of the product's own, as small as tests need them."""
+
+    def read_request(self, method, target, headers, body, arrived_s) -> DirectRequest:
+        """Return the request."""
+        found = dict(headers)
+        tokens = int(found.get(b"daisystack-tokens", b"0"))
+        return DirectRequest(
+            id=found.get(REQUEST_ID, b"r1").decode(),
+            method=method,
+            target=target,
+            host=found.get(b"host", b"site").decode(),
+            path=target.partition("?")[0],
+            headers=headers,
+            body=body,
+            arrived_s=arrived_s,
+            time_left_s=float(found.get(b"daisystack-time-left", b"5")),
+            api_key=found[b"daisystack-key"].decode() if b"daisystack-key" in found else None,
+            prompt=PromptSize("m", tokens, 100, 100) if tokens else None,
+            resume_after=None,
+        )
+
+    def write_request(
+        self, request, upstream, workspace, left_s, rank, exact_version, resume_after
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an attempt."""
+        headers = [h for h in request.headers if h[0] != b"daisystack-key"]
+        headers.append((b"content-length", str(len(request.body)).encode()))
+        headers.append((b"daisystack-time-left", f"{left_s:.3f}".encode()))
+        if workspace:
+            headers.append((b"daisystack-workspace", workspace.encode()))
+        if resume_after:
+            headers.append((b"last-event-id", resume_after.encode()))
+        if exact_version is not None:
+            headers.append((VERSION, str(exact_version).encode()))
+        return headers
+
+    def read_answer(self, status, headers) -> DirectAnswer:
+        """Return what an answer says of itself."""
+        found = dict(headers)
+        version = found.get(VERSION)
+        return DirectAnswer(
+            status=status,
+            request_id=found.get(REQUEST_ID, b"r1").decode(),
+            was_not_run=NOT_RUN in found,
+            is_genuine=MARK in found,
+            is_stream=found.get(b"content-type") == b"text/event-stream",
+            is_encoded=b"content-encoding" in found,
+            version=int(version) if version else None,
+            headers=tuple(h for h in headers if h[0] == MARK),
+        )
+
+    def echo(self, request_id) -> list[tuple[bytes, bytes]]:
+        """Return the headers that an answer of our own bears."""
+        return []
+
+
+class RecordingResponder:
+    """Keep what a caller would get."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.pieces: list[bytes] = []
+        self.is_begun = False
+        self.is_done = False
+
+    @property
+    def body(self) -> bytes:
+        """Return all that was passed on."""
+        return b"".join(self.pieces)
+
+    def whole(self, status, headers, body) -> None:
+        """Take a whole answer."""
+        self.begin(status, headers)
+        self.piece(body)
+        self.finish()
+
+    def begin(self, status, headers) -> None:
+        """Take the head of an answer."""
+        self.is_begun = True
+        self.status = status
+        self.headers = dict(headers)
+
+    def piece(self, body) -> None:
+        """Take a piece."""
+        self.pieces.append(body)
+
+    def finish(self) -> None:
+        """Take the end of a whole answer."""
+        self.is_done = True
+
+
+def build_figures(**changed) -> EngineFigures:
+    """Return the figures of an engine like those of the users' pools."""
+    usual = {
+        "model": "m",
+        "step_s": 0.00673,
+        "step_per_sequence_s": 0.0000219,
+        "step_per_context_token_s": 6.8e-9,
+        "read_tokens_per_s": 30_600.0,
+        "pair_s": 6.47e-10,
+        "chunk_tokens": 2048,
+        "steps_per_pass": 6,
+        "usual_prompt_tokens": 964,
+        "usual_answer_tokens": 119,
+        "load_s": 0.3,
+        "first_version": 1,
+        "layers": 16,
+        "chunk_count": 64,
+        "chunk_bytes": 32_768,
+    }
+    return EngineFigures(**(usual | changed))
+
+
+def build_route(kind=RequestKind.SAFE, service="ledger", **changed) -> Route:
+    """Return a route under /work/."""
+    usual = {
+        "name": "work",
+        "host": "site",
+        "prefix": "/work/",
+        "kind": kind,
+        "shares": (Share(service, 1.0),),
+        "timeout_s": 2.0,
+        "objective_s": 0.4,
+        "max_pause_s": 0.3,
+        "max_attempts": 2,
+        "priority": 1,
+        "is_public": True,
+        "is_resumable": False,
+    }
+    return Route(**(usual | changed))
+
+
+def build_policy(route: Route, workspaces: tuple[Workspace, ...] = ()) -> TrafficPolicy:
+    """Return a policy with one route."""
+    names = [share.service for share in route.shares]
+    services = {name: Service(name, 100) for name in names}
+    return TrafficPolicy(1, (route,), services, workspaces)
+
+
+def build_upstream(id="u1", address="127.0.0.1:1", **changed) -> DirectUpstream:
+    """Return a plain upstream."""
+    usual = {"service": "ledger", "zone": "z1", "slots": 4, "is_ready": True}
+    return DirectUpstream(id=id, address=address, **(usual | changed))
+
+
+def build_inbound(method="POST", body=b"{}", target="/work/1", **headers) -> InboundRequest:
+    """Return a caller's request that has just arrived."""
+    named = tuple((k.replace("_", "-").encode(), v.encode()) for k, v in headers.items())
+    return InboundRequest(method, target, ((b"host", b"site"), *named), body, now_s())
+
+
+def build_requests(policy: TrafficPolicy, upstreams, confirmed_age_s=0.0) -> DirectRequests:
+    """Return the requests of one entry before some upstreams."""
+    placement = Placement(random.Random(1), EngineBoard())
+    for upstream in upstreams:
+        placement.list(upstream)
+    mirror = Mirror("op/")
+    mirror.take_snapshot(Snapshot((), 1, now_s() - confirmed_age_s))
+    published = PublishedState(None, placement, policy=policy)
+    settings = DirectSettings("z1", 4.4, 6.0, 0.2, 100.0, 10.0)
+    return DirectRequests(settings, PlainDialect(), published, placement, mirror, lambda: 2)
--- /dev/null
+++ b/daisystack/tests/test_caller_http.py
@@ -0,0 +1,179 @@
+"""Callers' bytes over real sockets: what is refused, what stays open, and what is noticed."""
+
+import socket
+import unittest
+
+import eventlet
+
+from daisystack.core.addresses import parse_address
+from daisystack.core.traffic import CallerLimits
+from daisystack.runtime.caller_http import CallerGone, CallerServer
+from daisystack.testing.scripted import free_address
+
+LIMITS = CallerLimits(
+    max_head_bytes=2048, max_body_bytes=1000, head_timeout_s=0.3, idle_timeout_s=0.6
+)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+
+# Bytes that must end in a refusal and a closed connection, with no request handed on.
+REFUSED = [
+    ("two different lengths", HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400),
+    ("length and chunks", HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    ("a signed length", HEAD + b"Content-Length: +2\r\n\r\nab", 400),
+    ("a negative length", HEAD + b"Content-Length: -2\r\n\r\nab", 400),
+    ("a length in hex", HEAD + b"Content-Length: 0x2\r\n\r\nab", 400),
+    ("an unknown transfer encoding", HEAD + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+    ("two transfer encodings", HEAD + b"Transfer-Encoding: chunked, gzip\r\n\r\n", 501),
+    ("a bad chunk size", HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n", 400),
+    ("two hosts", GET.replace(b"\r\n\r\n", b"\r\nHost: i\r\n\r\n"), 400),
+    ("no host", b"GET /a HTTP/1.1\r\n\r\n", 400),
+    ("a space before the colon", GET.replace(b"\r\n\r\n", b"\r\nX : 1\r\n\r\n"), 400),
+    ("a bare carriage return", GET.replace(b"\r\n\r\n", b"\r\nX: a\rb\r\n\r\n"), 400),
+    ("no HTTP", b"\x16\x03\x01\x00\xa5\r\n\r\n", 400),
+    ("a head over its limit", GET[:-2] + b"X: " + b"a" * 4000 + b"\r\n\r\n", 431),
+    ("a body over its limit", HEAD + b"Content-Length: 1001\r\n\r\n" + b"a" * 1001, 413),
+    ("a head that does not end", GET[:-2], 408),
+    ("a body that does not come", HEAD + b"Content-Length: 5\r\n\r\nab", 408),
+]
+
+
+class Site:
+    """A server, the requests it handed on, and what its handler does."""
+
+    def __init__(self, handler=None):
+        self.requests = []
+        self.is_leaving = False
+        self.handler = handler or (lambda request, responder: responder.whole(200, [], b"ok"))
+        self.address = free_address()
+        self.server = CallerServer(
+            parse_address(self.address), self.handle, lambda: LIMITS, lambda: self.is_leaving
+        )
+        self.server.start()
+
+    def handle(self, request, responder):
+        self.requests.append(request)
+        self.handler(request, responder)
+
+    def connect(self):
+        host, port = self.address.split(":")
+        return socket.create_connection((host, int(port)), timeout=5)
+
+
+def read_until(sock, wanted):
+    got = b""
+    while wanted not in got:
+        piece = sock.recv(65536)
+        if not piece:
+            break
+        got += piece
+    return got
+
+
+def read_all(sock):
+    return read_until(sock, b"never sent by anybody")
+
+
+class TestFraming(unittest.TestCase):
+    def test_what_two_parsers_may_read_differently_is_refused_and_closed(self):
+        for name, sent, status in REFUSED:
+            with self.subTest(name):
+                site = Site()
+                sock = site.connect()
+                sock.sendall(sent)
+                got = read_all(sock)
+                self.assertEqual(got.split(b" ")[1:2], [str(status).encode()], got)
+                self.assertIn(b"connection: close", got.lower())
+                self.assertEqual(got.count(b"HTTP/1.1 "), 1)
+                self.assertEqual(site.requests, [])
+
+    def test_a_body_s_bytes_are_never_a_request(self):
+        site = Site()
+        sock = site.connect()
+        smuggled = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = HEAD + b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(smuggled)
+        sock.sendall(head + smuggled)
+        read_all(sock)
+        self.assertEqual([(r.target, r.body) for r in site.requests], [("/a", smuggled)])
+
+    def test_chunks_and_lengths_give_the_same_body(self):
+        site = Site()
+        sock = site.connect()
+        sock.sendall(HEAD + b"Content-Length: 3\r\n\r\nabc")
+        read_until(sock, b"ok")
+        sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n")
+        read_until(sock, b"ok")
+        self.assertEqual([r.body for r in site.requests], [b"abc", b"abc"])
+
+    def test_requests_sent_ahead_are_answered_in_order(self):
+        site = Site(lambda request, responder: responder.whole(200, [], request.target.encode()))
+        sock = site.connect()
+        sock.sendall(GET + GET.replace(b"/a", b"/b") + GET.replace(b"/a", b"/c"))
+        got = read_until(sock, b"/c")
+        self.assertEqual([got.index(b"/a") < got.index(b"/b") < got.index(b"/c")], [True])
+
+    def test_an_idle_connection_is_kept_for_its_time_and_then_closed(self):
+        site = Site()
+        sock = site.connect()
+        sock.sendall(GET)
+        read_until(sock, b"ok")
+        eventlet.sleep(0.3)
+        sock.sendall(GET)
+        self.assertIn(b"200", read_until(sock, b"ok"))
+        self.assertEqual(read_all(sock), b"")
+
+    def test_an_answer_that_is_not_finished_closes_the_connection(self):
+        def half(request, responder):
+            responder.begin(200, [])
+            responder.piece(b"half")
+
+        sock = Site(half).connect()
+        sock.sendall(GET)
+        got = read_all(sock)
+        self.assertIn(b"half", got)
+        self.assertFalse(got.endswith(b"0\r\n\r\n"))
+
+
+class TestCallerLeaves(unittest.TestCase):
+    def test_the_handler_is_ended_at_once(self):
+        ended = eventlet.event.Event()
+
+        def wait(request, responder):
+            try:
+                eventlet.sleep(5)
+            except CallerGone:
+                ended.send(True)
+                raise
+
+        site = Site(wait)
+        sock = site.connect()
+        sock.sendall(GET)
+        eventlet.sleep(0.05)
+        sock.close()
+        with eventlet.Timeout(0.4):
+            self.assertTrue(ended.wait())
+        eventlet.sleep(0.01)
+        self.assertEqual(site.server.in_progress, 0)
+
+
+class TestLeaving(unittest.TestCase):
+    def test_answers_say_that_the_connection_ends(self):
+        site = Site()
+        sock = site.connect()
+        site.is_leaving = True
+        sock.sendall(GET)
+        self.assertIn(b"connection: close", read_all(sock).lower())
+
+    def test_only_idle_connections_are_closed(self):
+        site = Site(
+            lambda request, responder: (eventlet.sleep(0.2), responder.whole(200, [], b"ok"))
+        )
+        busy, idle, begun = (site.connect() for _ in range(3))
+        busy.sendall(GET)
+        begun.sendall(GET[:10])
+        eventlet.sleep(0.05)
+        site.server.close_idle()
+        self.assertEqual(read_all(idle), b"")
+        self.assertIn(b"200", read_until(busy, b"ok"))
+        begun.sendall(GET[10:])
+        self.assertIn(b"200", read_until(begun, b"ok"))
--- /dev/null
+++ b/daisystack/tests/test_direct_core.py
@@ -0,0 +1,195 @@
+import unittest
+
+from daisystack.core.event_stream import MAX_EVENT_BYTES, EventSplitter
+from daisystack.core.manifests import digest_bytes
+from daisystack.core.retries import WindowedBudget
+from daisystack.core.roll import RollPlan, order_time_s
+from daisystack.core.stopping import StopTimes
+from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
+from daisystack.core.traffic import RequestKind, Share, TrafficPolicy
+from daisystack.core.weight_pieces import (
+    HolderPlan,
+    PieceCache,
+    PieceList,
+    is_piece,
+    sorted_zones,
+)
+from daisystack.testing.direct import build_route
+
+
+class TestRoutes(unittest.TestCase):
+    def setUp(self):
+        prefixes = ["/a/", "/a/b/", "/", "/c/d/"]
+        routes = tuple(build_route(name=p, prefix=p) for p in prefixes)
+        routes += (build_route(name="other", host="other", prefix="/x/"),)
+        self.policy = TrafficPolicy(1, routes, {})
+
+    def test_the_longest_prefix_wins(self):
+        for path, name in [
+            ("/a/b/c", "/a/b/"),
+            ("/a/b", "/a/"),
+            ("/a/", "/a/"),
+            ("/a", "/"),
+            ("/c/dd", "/"),
+            ("/c/d/e/f", "/c/d/"),
+        ]:
+            with self.subTest(path):
+                self.assertEqual(self.policy.find_route("site", path).name, name)
+
+    def test_another_host_s_routes_are_not_used(self):
+        self.assertIsNone(self.policy.find_route("other", "/a/"))
+        self.assertIsNone(self.policy.find_route("unknown", "/x/"))
+        self.assertIsNone(self.policy.find_route("other", "x"))
+
+    def test_a_split_follows_its_weights(self):
+        route = build_route(shares=(Share("a", 90), Share("b", 10)))
+        chosen = [route.choose_service(i / 1000) for i in range(1000)]
+        self.assertEqual((chosen.count("a"), chosen.count("b")), (900, 100))
+
+    def test_a_share_of_nothing_is_never_chosen(self):
+        route = build_route(shares=(Share("a", 0), Share("b", 1)))
+        self.assertEqual({route.choose_service(i / 10) for i in range(10)}, {"b"})
+
+    def test_only_safe_requests_and_streams_that_resume_may_repeat(self):
+        for kind, resumable, expected in [
+            (RequestKind.SAFE, False, True),
+            (RequestKind.UNSAFE, False, False),
+            (RequestKind.STREAM, False, False),
+            (RequestKind.STREAM, True, True),
+        ]:
+            route = build_route(kind, is_resumable=resumable)
+            self.assertEqual(route.is_repeatable, expected)
+
+
+class TestTargets(unittest.TestCase):
+    def test_a_target_never_goes_back(self):
+        targets = Targets()
+        self.assertTrue(targets.take(WeightTarget("m", 3), 5.0))
+        self.assertFalse(targets.take(WeightTarget("m", 2), 6.0))
+        self.assertEqual(targets.version("m"), 3)
+
+    def test_the_old_version_serves_until_the_time_is_up(self):
+        targets = Targets()
+        targets.take(WeightTarget("m", 1), LONG_AGO_S)
+        targets.take(WeightTarget("m", 2), 10.0)
+        self.assertEqual(targets.min_version("m", 6.0, 15.9), 1)
+        self.assertEqual(targets.min_version("m", 6.0, 16.0), 2)
+
+    def test_a_second_bump_does_not_bring_the_first_version_back(self):
+        targets = Targets()
+        for version, at_s in [(1, LONG_AGO_S), (2, 10.0), (3, 12.0)]:
+            targets.take(WeightTarget("m", version), at_s)
+        self.assertEqual(targets.min_version("m", 6.0, 16.5), 2)
+        self.assertEqual(targets.min_version("m", 6.0, 18.0), 3)
+
+    def test_a_target_found_at_start_may_be_long_in_force(self):
+        targets = Targets()
+        targets.take(WeightTarget("m", 2), LONG_AGO_S)
+        self.assertEqual(targets.min_version("m", 6.0, 0.0), 2)
+
+
+class TestRoll(unittest.TestCase):
+    def test_turns_are_spread_over_the_time_left(self):
+        engines = [f"e{i}" for i in range(5)]
+        times = sorted(order_time_s(RollPlan(e, engines, 8.0), 10.0, 14.0) for e in engines)
+        self.assertEqual(times[0], 14.0)
+        self.assertLess(times[-1], 18.0)
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        self.assertAlmostEqual(min(gaps), max(gaps))
+
+    def test_who_is_ready_too_late_loads_at_once(self):
+        self.assertEqual(order_time_s(RollPlan("e", ["e", "f"], 8.0), 10.0, 30.0), 30.0)
+
+
+class TestWindowedBudget(unittest.TestCase):
+    def test_the_sum_over_all_entries_keeps_the_bound_in_any_window(self):
+        entries, ratio, slack = 8, 0.2, 104.0
+        budgets = [WindowedBudget(ratio, slack, 10.0) for _ in range(entries)]
+        sent = []
+        for step in range(3000):
+            now_s = step * 0.01
+            budget = budgets[step % entries]
+            budget.earn(now_s)
+            while budget.take(entries, now_s):
+                sent.append(now_s)
+        for start in range(20):
+            in_window = sum(start <= t < start + 10 for t in sent)
+            self.assertLessEqual(in_window, ratio * 1000 + slack)
+
+    def test_an_entry_that_knows_few_others_still_keeps_a_margin(self):
+        budgets = [WindowedBudget(0.2, 104.0, 10.0) for _ in range(8)]
+        sent = sum(1 for budget in budgets for _ in range(1000) if budget.take(6, 0.0))
+        self.assertLessEqual(sent, 104)
+
+
+class TestStopTimes(unittest.TestCase):
+    def test_a_request_that_could_be_cut_off_is_not_taken(self):
+        stop = StopTimes(asked_s=10.0, ends_s=17.6)
+        for now_s, longest_s, expected in [
+            (11.0, 6.0, True),
+            (14.0, 6.0, False),
+            (14.0, 1.5, True),
+            (17.0, 1.5, False),
+        ]:
+            with self.subTest(now_s=now_s, longest_s=longest_s):
+                self.assertEqual(stop.has_time_for(longest_s, now_s), expected)
+
+
+class TestEvents(unittest.TestCase):
+    STREAM = b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\n"
+
+    def test_events_are_whole_however_the_bytes_come(self):
+        whole = [e.id for e in EventSplitter().feed(self.STREAM)]
+        self.assertEqual(whole, [b"1", b"2", None])
+        splitter, found = EventSplitter(), []
+        for i in range(len(self.STREAM)):
+            found += splitter.feed(self.STREAM[i : i + 1])
+        self.assertEqual(b"".join(e.body for e in found), self.STREAM)
+        self.assertEqual([e.id for e in found], whole)
+
+    def test_an_event_without_end_does_not_fill_memory(self):
+        with self.assertRaises(ValueError):
+            list(EventSplitter().feed(b"a" * (MAX_EVENT_BYTES + 1)))
+
+
+class TestPieces(unittest.TestCase):
+    BODIES = [b"a", b"b", b"c", b"d"]
+
+    def build_list(self, version=1, bodies=BODIES):
+        return PieceList("m", version, tuple(digest_bytes(b) for b in bodies))
+
+    def test_only_fitting_bytes_are_held(self):
+        cache, pieces = PieceCache(), self.build_list()
+        cache.add_list(pieces)
+        self.assertFalse(cache.put(pieces, 0, b"x"))
+        self.assertTrue(cache.put(pieces, 0, b"a"))
+        self.assertEqual(cache.get(pieces.digests[0]), b"a")
+        self.assertFalse(is_piece(pieces, 1, None))
+
+    def test_old_versions_go_but_for_pieces_that_a_new_one_shares(self):
+        cache = PieceCache(max_versions=2)
+        for version, bodies in [(1, [b"a", b"x"]), (2, [b"a", b"y"]), (3, [b"a", b"z"])]:
+            pieces = self.build_list(version, bodies)
+            cache.add_list(pieces)
+            for index, body in enumerate(bodies):
+                cache.put(pieces, index, body)
+        self.assertNotIn(("m", 1), cache.lists)
+        self.assertEqual(cache.held_bytes, 3)
+
+    def test_a_list_of_anything_but_digests_is_refused(self):
+        for digests in [(), ("zz",), ("a" * 63,)]:
+            with self.assertRaises(ValueError):
+                PieceList("m", 1, digests)
+
+    def test_each_zone_holds_one_copy_and_the_origin_sends_one(self):
+        members = [("e1", "z1"), ("e2", "z1"), ("e3", "z2")]
+        plan = HolderPlan("z1", sorted_zones(members))
+        held = {m: plan.held_by(m, zone, 64) for m, zone in members}
+        self.assertEqual(sorted(held["e1"] + held["e2"]), list(range(64)))
+        self.assertEqual(held["e3"], list(range(64)))
+        self.assertLessEqual({plan.fetcher(i) for i in range(64)}, {"e1", "e2"})
+
+    def test_another_zone_fetches_when_the_origin_s_has_no_entry(self):
+        plan = HolderPlan("z1", sorted_zones([("e3", "z2")]))
+        self.assertEqual(plan.fetcher(5), "e3")
+        self.assertIsNone(HolderPlan("z1", {}).fetcher(5))
--- /dev/null
+++ b/daisystack/tests/test_direct_requests.py
@@ -0,0 +1,301 @@
+"""An entry before upstreams it sends to directly: each failure point, and what may follow it."""
+
+import socket
+import unittest
+
+import eventlet
+
+from daisystack.core.traffic import RequestKind, Workspace
+from daisystack.runtime.caller_http import CallerGone
+from daisystack.testing.direct import (
+    RecordingResponder,
+    build_inbound,
+    build_policy,
+    build_requests,
+    build_route,
+    build_upstream,
+)
+from daisystack.testing.scripted import (
+    ScriptedServer,
+    answer,
+    cut,
+    free_address,
+    read_request,
+    reset,
+    silence,
+)
+
+MARK = "Daisystack-Mark: m\r\n"
+GOOD = cut(answer(b"good", head=MARK))
+FAILED = cut(answer(b"failed", "500 Internal Server Error", MARK))
+SHED = cut(answer(b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\n"))
+BARE_503 = cut(answer(b"", "503 Service Unavailable"))
+TRUNCATED = cut(answer(b"go", head=MARK, length=4))
+FOREIGN = cut(answer(b"other", head=MARK + "Daisystack-Request: other\r\n"))
+ENCODED = cut(answer(b"good", head=MARK + "Content-Encoding: gzip\r\n"))
+UNMARKED = cut(answer(b"good"))
+GARBAGE = cut(b"\x00\x01 no answer\r\n\r\n")
+NO_BYTES = cut(b"")
+STREAM = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+
+# What the first upstream does, and what an unsafe and a safe request get when the second one is
+# good.
+CASES = [
+    ("refused connection", None, 200, 200),
+    ("shed", SHED, 200, 200),
+    ("503 without the upstream's word", BARE_503, 502, 200),
+    ("reset before it read all", reset(10), 502, 200),
+    ("closed without an answer", NO_BYTES, 502, 200),
+    ("garbage", GARBAGE, 502, 200),
+    ("truncated", TRUNCATED, 502, 200),
+    ("another request's answer", FOREIGN, 502, 200),
+    ("encoded body", ENCODED, 502, 200),
+    ("no mark of the upstream", UNMARKED, 502, 200),
+    ("its own failure", FAILED, 500, 200),
+]
+
+
+class Counted:
+    """Count the connections on which a request came; a probe sends none."""
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = 0
+
+    def __call__(self, sock):
+        if sock.recv(1, socket.MSG_PEEK):
+            self.requests += 1
+            self.script(sock)
+
+
+def serve(kind, scripts, inbound=None, workspaces=(), age_s=0.0, **route):
+    """Send one request to upstreams that are tried in order, and return all that was seen."""
+    scripts = [Counted(s) if s else None for s in scripts]
+    servers = [ScriptedServer([s]) if s else None for s in scripts]
+    upstreams = [
+        # More places look emptier, so the order of trying is that of the list.
+        build_upstream(f"u{i}", s.address if s else free_address(), slots=100 // (i + 1))
+        for i, s in enumerate(servers)
+    ]
+    policy = build_policy(build_route(kind, **route), workspaces)
+    requests = build_requests(policy, upstreams, age_s)
+    responder = RecordingResponder()
+    requests.handle(inbound or build_inbound(), responder)
+    for server in filter(None, servers):
+        server.close()
+    return responder, [s.requests if s else 0 for s in scripts], requests
+
+
+class TestOneUpstreamFails(unittest.TestCase):
+    def test_an_unsafe_request_is_sent_again_only_if_it_did_not_run(self):
+        for name, script, unsafe_status, _ in CASES:
+            with self.subTest(name):
+                responder, seen, _ = serve(RequestKind.UNSAFE, [script, GOOD])
+                self.assertEqual(responder.status, unsafe_status)
+                self.assertEqual(seen[1], 1 if unsafe_status == 200 else 0)
+
+    def test_a_safe_request_is_served_by_another_upstream(self):
+        for name, script, _, safe_status in CASES:
+            with self.subTest(name):
+                responder, seen, _ = serve(RequestKind.SAFE, [script, GOOD])
+                self.assertEqual((responder.status, responder.body), (safe_status, b"good"))
+                self.assertEqual(seen[1], 1)
+
+    def test_what_never_ran_is_refused_with_a_time_to_come_back(self):
+        for script in (None, SHED):
+            responder, _, _ = serve(RequestKind.UNSAFE, [script])
+            self.assertEqual(responder.status, 503)
+            self.assertIn(b"Retry-After", responder.headers)
+
+    def test_what_may_have_run_is_never_called_not_run(self):
+        for name, script, _, _ in CASES[2:]:
+            for kind in (RequestKind.UNSAFE, RequestKind.SAFE):
+                with self.subTest(name, kind=kind):
+                    responder, _, _ = serve(kind, [script])
+                    self.assertNotIn(responder.status, (408, 421, 429, 503))
+                    self.assertNotIn(b"Retry-After", responder.headers)
+
+    def test_a_shed_after_a_run_that_may_have_been_is_no_promise(self):
+        responder, seen, _ = serve(RequestKind.SAFE, [NO_BYTES, SHED])
+        self.assertEqual((responder.status, seen), (502, [1, 1]))
+
+    def test_attempts_are_bounded_by_the_route(self):
+        _, seen, _ = serve(RequestKind.SAFE, [NO_BYTES, NO_BYTES, GOOD])
+        self.assertEqual(seen, [1, 1, 0])
+
+    def test_the_last_failure_of_upstreams_is_passed_on(self):
+        responder, _, _ = serve(RequestKind.SAFE, [FAILED, FAILED])
+        self.assertEqual((responder.status, responder.body), (500, b"failed"))
+
+    def test_silence_ends_with_the_route_s_timeout(self):
+        responder, _, requests = serve(RequestKind.UNSAFE, [silence()], timeout_s=0.2)
+        self.assertEqual(responder.status, 504)
+        self.assertIn(("failed", 504), requests.outcomes)
+
+
+class TestBudget(unittest.TestCase):
+    def test_retries_stop_when_the_share_of_the_slack_is_spent(self):
+        script = Counted(NO_BYTES)
+        server = ScriptedServer([script])
+        upstreams = [build_upstream(f"u{i}", server.address, slots=100) for i in range(2)]
+        requests = build_requests(build_policy(build_route()), upstreams)
+        for _ in range(120):
+            requests.handle(build_inbound(), RecordingResponder())
+        # Two entries share a slack of 100, and each request earns a fifth of a retry.
+        self.assertLessEqual(script.requests - 120, 100 / 2 + 0.2 * 120)
+        self.assertGreaterEqual(script.requests - 120, 30)
+
+
+class TestKeys(unittest.TestCase):
+    HOLDER = (Workspace("dealers", frozenset({"k1"})),)
+
+    def ask(self, key, age_s=0.0):
+        headers = {"daisystack_key": key} if key else {}
+        return serve(
+            RequestKind.UNSAFE,
+            [GOOD],
+            build_inbound(**headers),
+            self.HOLDER,
+            age_s,
+            is_public=False,
+        )
+
+    def test_only_a_known_key_opens_a_route(self):
+        for key, status in [("k1", 200), ("k2", 401), (None, 401)]:
+            with self.subTest(key):
+                responder, seen, _ = self.ask(key)
+                self.assertEqual((responder.status, seen), (status, [1 if status == 200 else 0]))
+
+    def test_a_key_is_refused_on_a_belief_older_than_its_bound(self):
+        for age_s, status in [(4.0, 200), (4.5, 503), (100.0, 503)]:
+            with self.subTest(age_s):
+                responder, seen, _ = self.ask("k1", age_s)
+                self.assertEqual((responder.status, seen), (status, [1 if status == 200 else 0]))
+
+    def test_a_public_route_needs_no_fresh_belief(self):
+        responder, _, _ = serve(RequestKind.UNSAFE, [GOOD], workspaces=self.HOLDER, age_s=100.0)
+        self.assertEqual(responder.status, 200)
+
+    def test_a_key_that_goes_while_an_attempt_runs_is_not_used_for_the_next(self):
+        requests = None
+
+        def revoke_and_shed(sock):
+            read_request(sock)
+            requests.published.policy = build_policy(build_route(is_public=False), (others,))
+            sock.sendall(answer(b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\n"))
+
+        others = Workspace("others", frozenset({"k9"}))
+        first, second = ScriptedServer([revoke_and_shed]), ScriptedServer([GOOD])
+        upstreams = [
+            build_upstream("u0", first.address, slots=100),
+            build_upstream("u1", second.address, slots=10),
+        ]
+        policy = build_policy(build_route(is_public=False), self.HOLDER)
+        requests = build_requests(policy, upstreams)
+        responder = RecordingResponder()
+        requests.handle(build_inbound(daisystack_key="k1"), responder)
+        self.assertEqual((responder.status, second.connections), (401, 0))
+
+
+class TestStreams(unittest.TestCase):
+    def stream(self, *events, end=b"0\r\n\r\n", version=3, after=None, seen=None):
+        def script(sock):
+            request = read_request(sock)
+            if seen is not None:
+                seen.append(request)
+            head = STREAM + MARK + f"Daisystack-Version: {version}\r\n\r\n"
+            sock.sendall(head.encode())
+            for event in events:
+                sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            sock.sendall(end)
+
+        return script
+
+    def event(self, number):
+        return b"id: %d\ndata: x\n\n" % number
+
+    def test_events_are_passed_on_and_the_end_too(self):
+        events = [self.event(i) for i in range(1, 4)]
+        responder, _, _ = serve(RequestKind.STREAM, [self.stream(*events)])
+        self.assertEqual((responder.body, responder.is_done), (b"".join(events), True))
+
+    def test_half_an_event_is_dropped_and_the_answer_does_not_look_whole(self):
+        script = self.stream(self.event(1), self.event(2)[:6], end=b"")
+        responder, _, _ = serve(RequestKind.STREAM, [script])
+        self.assertEqual((responder.body, responder.is_done), (self.event(1), False))
+
+    def test_a_stream_that_may_be_resumed_goes_on_where_it_broke(self):
+        seen = []
+        first = self.stream(self.event(1), self.event(2)[:6], end=b"")
+        second = self.stream(self.event(2), self.event(3), seen=seen)
+        responder, _, _ = serve(
+            RequestKind.STREAM, [first, second], is_resumable=True, objective_s=0.0
+        )
+        self.assertEqual(responder.body, b"".join(self.event(i) for i in (1, 2, 3)))
+        self.assertTrue(responder.is_done)
+        self.assertIn(b"last-event-id: 1\r\n", seen[0].lower())
+        self.assertIn(b"daisystack-version: 3\r\n", seen[0].lower())
+
+    def test_events_that_come_again_are_dropped(self):
+        first = self.stream(self.event(1), self.event(2), end=b"")
+        second = self.stream(self.event(2), self.event(3))
+        responder, _, _ = serve(
+            RequestKind.STREAM, [first, second], is_resumable=True, objective_s=0.0
+        )
+        self.assertEqual(responder.body, b"".join(self.event(i) for i in (1, 2, 3)))
+
+    def test_a_stream_is_not_resumed_from_other_weights(self):
+        first = self.stream(self.event(1), end=b"")
+        second = self.stream(self.event(2), version=4)
+        responder, _, _ = serve(
+            RequestKind.STREAM, [first, second], is_resumable=True, objective_s=0.0
+        )
+        self.assertEqual((responder.body, responder.is_done), (self.event(1), False))
+
+    def test_a_stream_that_broke_before_its_first_event_starts_anew(self):
+        first = self.stream(end=b"")
+        responder, _, _ = serve(
+            RequestKind.STREAM, [first, self.stream(self.event(1))], is_resumable=True
+        )
+        self.assertEqual((responder.status, responder.body), (200, self.event(1)))
+
+
+class TestCallerLeaves(unittest.TestCase):
+    def test_the_upstream_s_connection_is_closed(self):
+        closed = eventlet.event.Event()
+
+        def wait_for_close(sock):
+            read_request(sock)
+            closed.send(sock.recv(1))
+
+        server = ScriptedServer([wait_for_close])
+        policy = build_policy(build_route(RequestKind.UNSAFE))
+        requests = build_requests(policy, [build_upstream(address=server.address)])
+        task = eventlet.spawn(requests.handle, build_inbound(), RecordingResponder())
+        eventlet.sleep(0.05)
+        eventlet.kill(task, CallerGone("closed"))
+        with eventlet.Timeout(1.0):
+            self.assertEqual(closed.wait(), b"")
+        self.assertEqual(requests.placement.own_counts(), {})
+
+
+class TestCrashes(unittest.TestCase):
+    def test_a_request_that_crashes_upstreams_is_held(self):
+        requests, ports = None, []
+        for _ in range(4):
+            server = ScriptedServer([])
+
+            def crash(sock, server=server):
+                read_request(sock)
+                server.close()
+                reset(0)(sock)
+
+            server.scripts = [crash]
+            ports.append(server)
+        upstreams = [build_upstream(f"u{i}", s.address) for i, s in enumerate(ports)]
+        requests = build_requests(build_policy(build_route()), upstreams)
+        responders = [RecordingResponder() for _ in range(3)]
+        for responder in responders:
+            requests.handle(build_inbound(), responder)
+        self.assertLessEqual(sum(s.connections for s in ports), 3)
+        self.assertEqual(responders[-1].status, 502)
--- /dev/null
+++ b/daisystack/tests/test_placement.py
@@ -0,0 +1,156 @@
+"""Where work goes under load: each test names the pattern of load that it answers."""
+
+import random
+import unittest
+
+import attrs
+
+from daisystack.core.engine_model import EngineLoad, predict_first_event_s
+from daisystack.core.engine_news import EngineBoard, EngineNews
+from daisystack.core.placement import Placement, Refusal, Wish
+from daisystack.testing.direct import build_figures, build_upstream
+
+PROMPT = Wish("llm", "z1", prompt_tokens=1000, answer_tokens=120, first_event_s=0.4)
+
+
+def build_engine(id, **changed):
+    usual = {"service": "llm", "slots": 16, "has_engine": True, "version": 1, "born_ms": 7}
+    return build_upstream(id, f"{id}:1", **(usual | changed))
+
+
+def build_news(id, read_s, **changed):
+    usual = {"born_ms": 7, "version": 1, "is_whole": True, "is_loading": False}
+    usual |= {"running": 0, "queued": 0}
+    return EngineNews(address=f"{id}:1", read_s=read_s, **(usual | changed))
+
+
+def build_pool(*engines):
+    placement = Placement(random.Random(1), EngineBoard(), {"llm": build_figures()})
+    for engine in engines:
+        placement.list(engine)
+    return placement
+
+
+class TestPrediction(unittest.TestCase):
+    def test_waiting_for_a_place_costs_more_than_reading(self):
+        figures = build_figures()
+        idle = predict_first_event_s(figures, EngineLoad(16, 0, 0), 1000)
+        reading = predict_first_event_s(figures, EngineLoad(16, 8, 4000), 1000)
+        full = predict_first_event_s(figures, EngineLoad(16, 20, 0), 1000)
+        self.assertLess(idle, reading)
+        self.assertLess(reading, full)
+        self.assertLess(idle, 0.2)
+        self.assertGreater(full, 0.3)
+
+
+class TestSteadyLoad(unittest.TestCase):
+    def test_prompts_avoid_an_engine_that_still_reads_others(self):
+        """Large prompts at once: the second goes elsewhere though both engines run as many."""
+        placement = build_pool(build_engine("a"), build_engine("b"))
+        first = placement.choose(PROMPT, 0.0)
+        placement.begin(first.id, 3000, 0.0)
+        self.assertNotEqual(placement.choose(PROMPT, 0.0).id, first.id)
+
+    def test_a_report_replaces_what_entries_tell(self):
+        """Counts of other entries lag: the agent's own report decides while it is fresh."""
+        placement = build_pool(build_engine("a"), build_engine("b"))
+        placement.heard_counts("e2", {"b": 15}, 0.0)
+        placement.engines.heard(build_news("a", 0.0, running=10))
+        placement.engines.heard(build_news("b", 0.0, running=1))
+        self.assertEqual(placement.choose(PROMPT, 0.1).id, "b")
+        self.assertEqual(placement.in_flight("b", 5.0), 0)
+
+    def test_what_was_sent_since_a_report_is_added_to_it(self):
+        placement = build_pool(build_engine("a"))
+        sent = [placement.begin("a", 100, t) for t in (0.5, 1.2, 1.3)]
+        placement.engines.heard(build_news("a", 1.0, running=4))
+        self.assertEqual(placement.in_flight("a", 1.4), 6)
+        placement.end(sent[1], 1.45)
+        self.assertEqual(placement.in_flight("a", 1.5), 5)
+
+    def test_eight_entries_do_not_all_choose_the_engine_that_looks_idle(self):
+        """Herding: between two reports, eight entries with the same news spread their requests."""
+        pools = [build_pool(*(build_engine(f"u{i}") for i in range(6))) for _ in range(8)]
+        counts = dict.fromkeys((f"u{i}" for i in range(6)), 0)
+        for index, pool in enumerate(pools):
+            pool.draw = random.Random(index)
+            for i in range(6):
+                pool.engines.heard(build_news(f"u{i}", 0.0, running=5))
+            for n in range(3):
+                chosen = pool.choose(PROMPT, 0.01 * n)
+                pool.begin(chosen.id, 1000, 0.01 * n)
+                counts[chosen.id] += 1
+        self.assertLessEqual(max(counts.values()), 2 * 24 / 6)
+
+
+class TestOverload(unittest.TestCase):
+    def test_what_would_be_late_is_refused_at_once(self):
+        """Sudden burst: full engines refuse new work instead of queueing it past its objective."""
+        placement = build_pool(build_engine("a"))
+        placement.engines.heard(build_news("a", 0.0, running=16, queued=5))
+        refusal = placement.choose(PROMPT, 0.0)
+        self.assertIsInstance(refusal, Refusal)
+        self.assertTrue(refusal.is_full)
+
+    def test_who_is_late_already_may_use_a_free_place(self):
+        """Return after a refusal: no objective is left to keep, so only room counts."""
+        placement = build_pool(build_engine("a"))
+        placement.engines.heard(build_news("a", 0.0, running=16, queued=1))
+        wish = attrs.evolve(PROMPT, first_event_s=None)
+        self.assertEqual(placement.choose(wish, 0.0).id, "a")
+
+    def test_nobody_queues_without_bound(self):
+        placement = build_pool(build_engine("a"))
+        placement.engines.heard(build_news("a", 0.0, running=16, queued=20))
+        wish = attrs.evolve(PROMPT, first_event_s=None)
+        self.assertIsInstance(placement.choose(wish, 0.0), Refusal)
+
+
+class TestRoll(unittest.TestCase):
+    def test_long_answers_avoid_an_engine_that_is_about_to_load(self):
+        """Roll of a version: what keeps an engine from loading goes to one that loads later."""
+        placement = build_pool(build_engine("a"), build_engine("b", zone="z2"))
+        placement.engines.heard(build_news("a", 0.0, loads_at_s=0.5))
+        placement.engines.heard(build_news("b", 0.0, running=4))
+        self.assertEqual(placement.choose(PROMPT, 0.0).id, "b")
+        short = attrs.evolve(PROMPT, answer_tokens=12, prompt_tokens=100)
+        self.assertEqual(placement.choose(short, 0.0).id, "a")
+
+    def test_engines_that_load_or_are_too_old_get_nothing(self):
+        placement = build_pool(build_engine("a"), build_engine("b"))
+        placement.engines.heard(build_news("a", 0.0, is_loading=True))
+        placement.engines.heard(build_news("b", 0.0, version=1))
+        self.assertEqual(placement.choose(PROMPT, 0.0).id, "b")
+        newer = attrs.evolve(PROMPT, min_version=2)
+        self.assertIsInstance(placement.choose(newer, 0.0), Refusal)
+
+    def test_a_report_of_a_former_life_says_nothing(self):
+        placement = build_pool(build_engine("a", version=0, born_ms=9))
+        placement.engines.heard(build_news("a", 0.0, version=1))
+        self.assertIsInstance(placement.choose(PROMPT, 0.0), Refusal)
+
+
+class TestFailures(unittest.TestCase):
+    def test_a_refused_connection_keeps_work_away_for_a_while(self):
+        placement = build_pool(build_engine("a"), build_engine("b", zone="z2"))
+        placement.avoid("a", 0.0)
+        self.assertEqual(placement.choose(PROMPT, 0.5).id, "b")
+        self.assertEqual(placement.choose(PROMPT, 2.0).id, "a")
+
+    def test_the_only_upstream_is_tried_all_the_same(self):
+        placement = build_pool(build_engine("a"))
+        placement.avoid("a", 0.0)
+        self.assertEqual(placement.choose(PROMPT, 0.5).id, "a")
+
+    def test_a_grey_upstream_gets_less_and_is_tried_again(self):
+        """Grey failure: an upstream that fails four in ten looks fuller than its healthy peers."""
+        placement = build_pool(build_engine("a"), build_engine("b", zone="z2"))
+        for n in range(10):
+            (placement.failed if n % 5 < 2 else placement.succeeded)("a", 0.1 * n)
+            placement.succeeded("b", 0.1 * n)
+        self.assertEqual(placement.choose(PROMPT, 1.0).id, "b")
+        self.assertEqual(placement.choose(PROMPT, 60.0).id, "a")
+
+    def test_who_is_not_ready_gets_nothing(self):
+        placement = build_pool(build_engine("a", is_ready=False))
+        self.assertIsInstance(placement.choose(PROMPT, 0.0), Refusal)
--- /dev/null
+++ b/daisystack/tests/test_weight_agent.py
@@ -0,0 +1,252 @@
+"""Filling and ordering an engine: rot, restarts, lost answers and bumps at each step."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+from attrs import define, field
+
+from daisystack.backends import BackendError, OrderAnswer
+from daisystack.core.addresses import parse_address
+from daisystack.core.direct_settings import Place, WeightAgentSettings
+from daisystack.core.manifests import digest_bytes
+from daisystack.core.membership import Member, MemberRole
+from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
+from daisystack.core.weight_pieces import EngineState, PieceList
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.mesh_handler import MeshHandler
+from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.peer_link import serve_peers
+from daisystack.runtime.piece_task import PieceTask
+from daisystack.runtime.weight_agent import WeightAgent
+from daisystack.testing.scripted import free_address
+
+BOUND_S = 8.0
+PIECES = 6
+
+
+def body_of(version, index):
+    return b"weights %d of %d " % (index, version) * 500
+
+
+def list_of(version):
+    digests = tuple(digest_bytes(body_of(version, i)) for i in range(PIECES))
+    return PieceList("m", version, digests)
+
+
+@define(eq=False)
+class FakeOrigin:
+    """Hand out versions, spoiling the next pieces or being away when asked to."""
+
+    spoilt: int = 0
+    is_away: bool = False
+    before_piece: object = None
+    calls: list = field(factory=list)
+
+    def piece_list(self, model, version):
+        if self.is_away:
+            raise BackendError("away")
+        return list_of(version)
+
+    def piece(self, model, version, index):
+        self.calls.append((version, index))
+        if self.before_piece is not None:
+            self.before_piece(self.calls)
+        if self.is_away:
+            raise BackendError("away")
+        if self.spoilt:
+            self.spoilt -= 1
+            return b"spoilt"
+        return body_of(version, index)
+
+
+@define(eq=False)
+class FakeEngine:
+    """Load what is staged as it lies there at the moment of the order."""
+
+    version: int = 0
+    order_count: int = 0
+    born_ms: int = 1
+    loses_answers: int = 0
+    pieces: dict = field(factory=dict)
+    loaded: list = field(factory=list)
+    before_read: object = None
+
+    def state(self):
+        return EngineState("m", self.version, False, self.order_count, 0, 0, self.born_ms)
+
+    def staged(self, model):
+        return frozenset(self.pieces)
+
+    def read_staged(self, model, index):
+        if self.before_read is not None:
+            self.before_read(index)
+        return self.pieces.get(index)
+
+    def stage(self, model, index, body):
+        self.pieces[index] = body
+
+    def start(self, model, version, order_count):
+        if order_count != self.order_count:
+            return OrderAnswer(False, "another order came")
+        self.order_count += 1
+        self.loaded.append((version, dict(self.pieces)))
+        self.version = version
+        if self.loses_answers:
+            self.loses_answers -= 1
+            raise BackendError("no answer")
+        return OrderAnswer(True, "accepted")
+
+
+class Site:
+    """One entry that holds pieces and one agent beside an engine, over real sockets."""
+
+    def __init__(self, engine, origin=None, version=2):
+        self.origin = origin or FakeOrigin()
+        self.engine = engine
+        address = free_address()
+        member = Member("e1", "i1", MemberRole.ENTRY, address, "", "", "z1", "r1", is_ready=True)
+        targets = Targets()
+        mesh = MeshTask(member, (), (), lambda mirror, changes: None, targets=targets)
+        self.pieces = PieceTask(
+            lambda: mesh.own,
+            list,
+            lambda: (self.origin, "z1"),
+            targets,
+            lambda member_id: None,
+        )
+        serve_peers(parse_address(address), MeshHandler(mesh, self.pieces))
+        place = Place("a1", "z1", "r1", (address,))
+        settings = WeightAgentSettings(place, free_address(), "pool", 0.0, "", BOUND_S, 8.0)
+        self.agent = WeightAgent(settings, engine)
+        self.agent.mesh.membership.heard(member, 0.0, now_s() + 60.0)
+        self.want(version)
+
+    def want(self, version, learned_s=LONG_AGO_S):
+        self.agent.mesh.targets.take(WeightTarget("m", version), learned_s)
+
+    def step(self, times=1):
+        for _ in range(times):
+            self.agent.state = self.engine.state()
+            self.agent._fill()
+
+    def run(self, seconds=10.0):
+        with eventlet.Timeout(seconds):
+            while self.engine.version != self.agent.mesh.targets.version("m"):
+                self.step()
+
+
+class TestFill(unittest.TestCase):
+    def assert_whole(self, engine, version):
+        for loaded, pieces in engine.loaded:
+            self.assertEqual(
+                [pieces[i] for i in range(PIECES)], [body_of(loaded, i) for i in range(PIECES)]
+            )
+        self.assertEqual(engine.loaded[-1][0], version)
+
+    def test_an_empty_engine_is_filled_and_ordered_once(self):
+        engine = FakeEngine()
+        site = Site(engine)
+        site.run()
+        site.step(3)
+        self.assert_whole(engine, 2)
+        self.assertEqual(engine.order_count, 1)
+        self.assertEqual(sorted(site.origin.calls), [(2, i) for i in range(PIECES)])
+
+    def test_pieces_that_lie_there_already_are_not_pulled_again(self):
+        engine = FakeEngine(pieces={i: body_of(2, i) for i in range(4)})
+        site = Site(engine)
+        site.run()
+        self.assertEqual(sorted(i for _, i in site.origin.calls), [4, 5])
+        self.assert_whole(engine, 2)
+
+    def test_spoilt_pieces_of_the_origin_are_pulled_again(self):
+        engine = FakeEngine()
+        Site(engine, FakeOrigin(spoilt=5)).run()
+        self.assert_whole(engine, 2)
+
+    def test_a_piece_that_rots_before_the_order_is_seen_and_replaced(self):
+        engine = FakeEngine()
+        reads = []
+
+        def rot(index):
+            reads.append(index)
+            if len(reads) == 2 * PIECES + 1:
+                engine.pieces[3] = b"rotten"
+
+        engine.before_read = rot
+        Site(engine).run()
+        self.assert_whole(engine, 2)
+
+    def test_an_order_whose_answer_is_lost_is_not_given_twice(self):
+        engine = FakeEngine(loses_answers=1)
+        site = Site(engine)
+        site.run()
+        site.step(3)
+        self.assertEqual(engine.order_count, 1)
+
+    def test_an_order_on_an_old_count_changes_nothing(self):
+        engine = FakeEngine()
+        site = Site(engine)
+        site.agent.state = engine.state()
+        engine.order_count = 7
+        with eventlet.Timeout(10):
+            while site.agent.orders == 0:
+                site.agent._fill()
+        self.assertEqual(engine.loaded, [])
+        site.run()
+        self.assert_whole(engine, 2)
+
+    def test_a_restarted_engine_is_filled_from_what_still_lies_there(self):
+        engine = FakeEngine()
+        site = Site(engine)
+        site.run()
+        engine.version, engine.order_count, engine.born_ms = 0, 0, 2
+        site.run()
+        self.assertEqual(len(site.origin.calls), PIECES)
+        self.assertEqual([v for v, _ in engine.loaded], [2, 2])
+
+    def test_a_restarted_agent_goes_on_where_the_former_one_was(self):
+        engine = FakeEngine()
+        site = Site(engine)
+        site.agent.state = engine.state()
+        site.agent._stage(list_of(2), engine.state())
+        Site(engine, site.origin).run()
+        self.assert_whole(engine, 2)
+        self.assertEqual(len(site.origin.calls), PIECES)
+
+    def test_a_bump_during_the_pulls_never_mixes_versions(self):
+        engine = FakeEngine()
+        site = Site(engine, version=2)
+
+        def bump(calls):
+            if len(calls) == 3:
+                site.want(3)
+
+        site.origin.before_piece = bump
+        site.run()
+        self.assert_whole(engine, 3)
+
+    def test_an_origin_that_is_away_is_asked_again(self):
+        engine, origin = FakeEngine(), FakeOrigin(is_away=True)
+        site = Site(engine, origin)
+        site.step(3)
+        self.assertEqual(engine.loaded, [])
+        origin.is_away = False
+        site.run()
+        self.assert_whole(engine, 2)
+
+
+class TestTurn(unittest.TestCase):
+    def test_an_engine_that_serves_waits_for_its_turn(self):
+        engine = FakeEngine(version=1)
+        site = Site(engine, version=1)
+        site.want(2, now_s())
+        later = mock.patch.object(WeightAgent, "_turn_s", lambda self, m, r, at_s: at_s + 60.0)
+        with later:
+            site.step(4)
+        self.assertEqual(engine.loaded, [])
+        self.assertEqual(len(engine.pieces), PIECES)
+        with mock.patch.object(WeightAgent, "_turn_s", lambda self, m, r, at_s: at_s):
+            site.run()
+        self.assertEqual(engine.version, 2)
