Give engines that stand still no new work, and begin nothing late after a pause

The request lines show that entries sent some fifty requests to two engines in the 3 s after their machines had been frozen. An engine's load counted for 0.6 s; after that the engine looked idle, as only the own requests were left to count, so it was the first choice.

Ruled out: ending abandoned requests with a reset (SO_LINGER 0) instead of a plain close.

Change: an engine is avoided when neither its agent's news nor any event of its answers has come for 0.6 s. Where the agent alone is gone, events keep it in use; long after, one request at a time tries it. An engine whose news were interrupted by more than a second counts as unseen for 2 s, so the wider margin at the end of a version holds.

--- a/daisystack/core/engine_news.py
+++ b/daisystack/core/engine_news.py
@@ -8,6 +8,10 @@
 
 # A report older than this says nothing about the engine's load; several gossip rounds long.
 REPORT_LIFETIME_S = 2.0
+# News of one engine further apart than this has an interruption between; gossip rounds are shorter.
+INTERRUPTION_S = 1.0
+# No machine stands still for longer, so its engine's next news are those of a new start.
+GONE_AFTER_S = 60.0
 
 
 @frozen
@@ -31,12 +35,20 @@
     """Keep the newest state of each engine."""
 
     _by_address: dict[str, EngineNews] = field(factory=dict)
+    _steady_since_s: dict[str, float] = field(factory=dict)
 
     def heard(self, news: EngineNews) -> None:
         """Take a state unless a newer one is known."""
         known = self._by_address.get(news.address)
-        if known is None or news.read_s > known.read_s:
-            self._by_address[news.address] = news
+        if known is not None and news.read_s <= known.read_s:
+            return
+        if known is not None and news.read_s - known.read_s > INTERRUPTION_S:
+            self._steady_since_s[news.address] = news.read_s
+        self._by_address[news.address] = news
+
+    def steady_s(self, address: str, now_s: float) -> float:
+        """Return for how long an engine's news have come without an interruption."""
+        return now_s - self._steady_since_s.get(address, float("-inf"))
 
     def get(self, address: str, now_s: float) -> EngineNews | None:
         """Return an engine's state if it was read lately."""
@@ -46,8 +58,8 @@
         return news
 
     def told(self, now_s: float) -> list[EngineNews]:
-        """Return all recent states and forget the others."""
-        old = [a for a, n in self._by_address.items() if now_s - n.read_s > REPORT_LIFETIME_S]
-        for address in old:
+        """Return all recent states and forget engines that are long gone."""
+        for address in [a for a, n in self._by_address.items() if now_s - n.read_s > GONE_AFTER_S]:
             del self._by_address[address]
-        return list(self._by_address.values())
+            self._steady_since_s.pop(address, None)
+        return [n for n in self._by_address.values() if now_s - n.read_s <= REPORT_LIFETIME_S]
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -45,6 +45,11 @@
 RETURN_SHARE = 1.0
 # An engine's load is unknown when its agent has said nothing for this long.
 LOAD_LIFETIME_S = 0.6
+# Agents tell ten times a second and engines make an event every few hundredths of one, so when
+# both are silent for this long their machine stands still.
+STILL_AFTER_S = 0.6
+# After a pause, what had waited in an engine's queue is worked off within this.
+STEADY_AFTER_S = 2.0
 
 
 class Draw(Protocol):
@@ -97,7 +102,13 @@
     upstream_id: str
     prompt_tokens: int
     sent_s: float
-    is_read: bool = False
+    # When the newest part of its answer came.
+    heard_s: float | None = None
+
+    @property
+    def is_read(self) -> bool:
+        """Say whether the prompt has been read, which the first event shows."""
+        return self.heard_s is not None
 
 
 @frozen
@@ -139,6 +150,7 @@
     _ended: dict[str, list[_Ended]] = field(factory=dict)
     _told: dict[str, _Told] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
+    _heard_s: dict[str, float] = field(factory=dict)
 
     def list(self, upstream: DirectUpstream) -> None:
         """Take what is published of an upstream."""
@@ -148,6 +160,7 @@
         """Drop an upstream that is no longer published."""
         self._listed.pop(upstream_id, None)
         self._health.pop(upstream_id, None)
+        self._heard_s.pop(upstream_id, None)
 
     def get(self, upstream_id: str) -> DirectUpstream | None:
         """Return what is published of an upstream."""
@@ -169,6 +182,10 @@
         own.discard(sent)
         if not own:
             del self._own[sent.upstream_id]
+        if sent.heard_s is not None:
+            self._heard_s[sent.upstream_id] = max(
+                self._last_heard_s(sent.upstream_id), sent.heard_s
+            )
         recent = [
             e for e in self._ended.get(sent.upstream_id, ()) if now_s - e.at_s <= LOAD_LIFETIME_S
         ]
@@ -284,6 +301,7 @@
             return True
         expected_s = self.predict_s(upstream, wish, now_s) or 0.0
         is_seen = self._load_news(upstream.id, now_s) is not None
+        is_seen = is_seen and self.engines.steady_s(upstream.address, now_s) >= STEADY_AFTER_S
         margin_s = BEGIN_MARGIN_S if is_seen else BLIND_MARGIN_S
         return now_s + BEGIN_SLACK * expected_s + margin_s <= until_s
 
@@ -329,7 +347,24 @@
 
     def _is_avoided(self, upstream: DirectUpstream, now_s: float) -> bool:
         health = self._health.get(upstream.id)
-        return health is not None and now_s < health.avoid_until_s
+        if health is not None and now_s < health.avoid_until_s:
+            return True
+        return upstream.has_engine and self._stands_still(upstream, now_s)
+
+    def _stands_still(self, upstream: DirectUpstream, now_s: float) -> bool:
+        """Say whether neither an engine nor its agent gives a sign of life."""
+        if now_s - self._last_heard_s(upstream.id) <= STILL_AFTER_S:
+            return False
+        news = self.engines.get(upstream.address, now_s)
+        if news is not None:
+            return now_s - news.read_s > STILL_AFTER_S
+        # Long without an agent: one request at a time shows whether the engine works.
+        return any(not sent.is_read for sent in self._own.get(upstream.id, ()))
+
+    def _last_heard_s(self, upstream_id: str) -> float:
+        """Return when a part of an answer last came from an upstream."""
+        own = (sent.heard_s for sent in self._own.get(upstream_id, ()) if sent.is_read)
+        return max(own, default=self._heard_s.get(upstream_id, float("-inf")))
 
     def _judge(self, upstream_id: str, outcome: float, now_s: float) -> None:
         health = self._health.setdefault(upstream_id, _Health())
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -130,7 +130,7 @@
         if self.exact_version is not None and answer.version != self.exact_version:
             raise AttemptFailed(AttemptEnd.ANSWER_MIXED, "answer is of another version")
         for event in self._events(exchange):
-            self._sent.is_read = True
+            self._sent.heard_s = now_s()
             if self._is_repeated(event):
                 continue
             self._begin_once(answer)
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -179,6 +179,60 @@
         self.assertIsInstance(placement.choose(PROMPT, 0.0), Refusal)
 
 
+class TestPauses(unittest.TestCase):
+    """A machine stands still under load: its engine and the agent beside it fall silent at once."""
+
+    def setUp(self):
+        self.pool = build_pool(build_engine("a"), build_engine("b"))
+        self.hear("a", 0.0)
+        self.hear("b", 0.0, running=12)
+
+    def hear(self, id, at_s, **changed):
+        self.pool.engines.heard(build_news(id, at_s, **changed))
+
+    def test_a_silent_engine_gets_nothing_though_it_looks_idle(self):
+        self.hear("b", 0.7, running=12)
+        self.assertEqual(self.pool.choose(PROMPT, 0.7).id, "b")
+
+    def test_no_room_beside_a_silent_engine_is_a_refusal_at_once(self):
+        self.hear("b", 0.7, running=24)
+        self.assertIsInstance(self.pool.choose(PROMPT, 0.7), Refusal)
+
+    def test_an_engine_whose_agent_alone_is_gone_stays_in_use_while_it_answers(self):
+        sent = self.pool.begin("a", 100, 0.1)
+        sent.heard_s = 0.6
+        self.hear("b", 0.7, running=12)
+        self.assertEqual(self.pool.choose(PROMPT, 0.7).id, "a")
+        self.pool.end(sent, 0.65)
+        self.assertEqual(self.pool.choose(PROMPT, 0.7).id, "a")
+
+    def test_long_after_its_agent_fell_silent_an_engine_is_tried_by_one_request_at_a_time(self):
+        self.hear("b", 3.0, running=12)
+        self.assertEqual(self.pool.choose(PROMPT, 3.0).id, "a")
+        sent = self.pool.begin("a", 100, 3.0)
+        self.hear("b", 3.1, running=12)
+        self.assertEqual(self.pool.choose(PROMPT, 3.1).id, "b")
+        sent.heard_s = 3.2
+        self.assertEqual(self.pool.choose(PROMPT, 3.3).id, "a")
+
+    def test_silent_engines_are_used_when_there_are_no_others(self):
+        """All agents are cut off or killed: what cannot be known keeps nobody from trying."""
+        self.assertEqual(self.pool.choose(PROMPT, 0.7).id, "a")
+
+    def test_after_a_pause_an_engine_begins_nothing_near_its_version_s_end(self):
+        """Its queue holds what came before the pause, which its first reports do not show."""
+        wish = attrs.evolve(PROMPT, old_until_s=lambda version: 8.0)
+        self.hear("a", 1.8)
+        self.hear("a", 5.0)
+        self.hear("a", 6.0)
+        self.hear("b", 6.0, is_loading=True)
+        self.assertIsInstance(self.pool.choose(wish, 6.0), Refusal)
+        for at_s in (6.5, 7.0):
+            self.hear("a", at_s)
+        later = attrs.evolve(PROMPT, old_until_s=lambda version: 9.0)
+        self.assertEqual(self.pool.choose(later, 7.0).id, "a")
+
+
 class TestFailures(unittest.TestCase):
     def test_a_refused_connection_keeps_work_away_for_a_while(self):
         placement = build_pool(build_engine("a"), build_engine("b", zone="z2"))
