Move streams from an engine that stands still to another one before their callers leave

Ruled out: resets instead of closes.

Change: a request that waits at an engine looks each 0.2 s whether the engine's agent and all its answers have been silent for 0.8 s. If it may run twice, has an attempt, its service's retry budget and another engine with room, it goes there, streams after their last event. Requests that look for a place together take the better of two engines at random. An engine that was left so is tried again after 2 s.

--- a/daisystack/core/engine_news.py
+++ b/daisystack/core/engine_news.py
@@ -46,6 +46,11 @@
             self._steady_since_s[news.address] = news.read_s
         self._by_address[news.address] = news
 
+    def read_s(self, address: str) -> float:
+        """Return when an engine's state was last read, however long ago."""
+        news = self._by_address.get(address)
+        return news.read_s if news is not None else float("-inf")
+
     def steady_s(self, address: str, now_s: float) -> float:
         """Return for how long an engine's news have come without an interruption."""
         return now_s - self._steady_since_s.get(address, float("-inf"))
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -11,7 +11,7 @@
 from daisystack.core.engine_news import EngineBoard, EngineNews
 from daisystack.core.traffic import EngineFigures
 
-__all__ = ["DirectUpstream", "Placement", "Refusal", "Sent", "Wish"]
+__all__ = ["STILL_PAUSE_S", "DirectUpstream", "Placement", "Refusal", "Sent", "Wish"]
 
 # Other entries tell their counts every 0.4 s; older ones are of requests that have ended.
 COUNTS_LIFETIME_S = 2.5
@@ -48,6 +48,11 @@
 # Agents tell ten times a second and engines make an event every few hundredths of one, so when
 # both are silent for this long their machine stands still.
 STILL_AFTER_S = 0.6
+# News from far zones come that late now and then, and giving up an attempt costs a retry.
+LEAVE_AFTER_S = 0.8
+# Waiting in a queue without an agent's word looks alike, so an engine that looked still is tried
+# again, but not by every request that comes.
+STILL_PAUSE_S = 2.0
 # After a pause, what had waited in an engine's queue is worked off within this.
 STEADY_AFTER_S = 2.0
 
@@ -93,6 +98,8 @@
     first_event_s: float | None = None
     # It was refused before, so its answer is late by now.
     is_return: bool = False
+    # Others look for a place at the same moment, as after the death of an upstream.
+    is_in_crowd: bool = False
 
 
 @define(eq=False)
@@ -207,9 +214,9 @@
         """Record an upstream's own failure."""
         self._judge(upstream_id, 1.0, now_s)
 
-    def avoid(self, upstream_id: str, now_s: float) -> None:
+    def avoid(self, upstream_id: str, now_s: float, pause_s: float = AVOID_S) -> None:
         """Leave an upstream alone for a while."""
-        self._health.setdefault(upstream_id, _Health()).avoid_until_s = now_s + AVOID_S
+        self._health.setdefault(upstream_id, _Health()).avoid_until_s = now_s + pause_s
 
     def in_flight(self, upstream_id: str, now_s: float) -> int:
         """Estimate an upstream's requests, by its agent's newest word if there is one."""
@@ -275,6 +282,9 @@
         roomy = [u for u in wanted if self._has_room(u, wish, now_s)]
         if not roomy:
             return Refusal(f"all {len(wanted)} upstreams are full", True)
+        if wish.is_in_crowd:
+            # All entries would find the same one best; the better of two spreads them.
+            roomy = sorted(roomy, key=lambda u: self.draw.random())[:2]
         return min(roomy, key=lambda u: (self._cost(u, wish, now_s), self.draw.random()))
 
     def _is_able(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> bool:
@@ -351,6 +361,18 @@
             return True
         return upstream.has_engine and self._stands_still(upstream, now_s)
 
+    def is_stuck(self, sent: Sent, now_s: float) -> bool:
+        """Say whether a request waits at an engine whose machine gives no sign of life."""
+        upstream = self._listed.get(sent.upstream_id)
+        if upstream is None or not upstream.has_engine:
+            return False
+        newest_s = max(
+            sent.sent_s,
+            self._last_heard_s(upstream.id),
+            self.engines.read_s(upstream.address),
+        )
+        return now_s - newest_s > LEAVE_AFTER_S
+
     def _stands_still(self, upstream: DirectUpstream, now_s: float) -> bool:
         """Say whether neither an engine nor its agent gives a sign of life."""
         if now_s - self._last_heard_s(upstream.id) <= STILL_AFTER_S:
--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -105,6 +105,11 @@
     def _combined(self) -> Verdict:
         return combine_verdicts(outcome.verdict for outcome in self.outcomes)
 
+    def may_leave(self, now_s: float) -> bool:
+        """Say whether an attempt that may have run could be given up for another one."""
+        is_last = len(self.outcomes) + 1 >= self.max_attempts
+        return self.repeatable and not is_last and now_s < self.deadline_s - LATEST_RETRY_S
+
     def after(self, outcome: AttemptOutcome, budget: Budget, now_s: float) -> NextStep:
         """Decide the next step once an attempt has ended and nothing reached the caller."""
         self.outcomes.append(outcome)
--- a/daisystack/core/retries.py
+++ b/daisystack/core/retries.py
@@ -95,6 +95,10 @@
         """Spend one retry if the window has it."""
         return self._of(service).take(entries, now_s)
 
+    def has(self, service: str, entries: int, now_s: float) -> bool:
+        """Say whether one more retry may be sent."""
+        return self._of(service).left(entries, now_s) >= 1.0
+
     def left(self, entries: int, now_s: float) -> float:
         """Return the retries that the most used budget still allows."""
         return min((b.left(entries, now_s) for b in self._budgets.values()), default=0.0)
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, frozen
 
@@ -66,10 +66,11 @@
         workspace: Workspace | None,
         rank: int | None,
         sent: Sent,
+        should_leave: Callable[[], bool],
     ) -> Attempt:
-        """Send the request to an upstream and pass its answer on."""
+        """Send the request to an upstream and pass its answer on, unless it should leave first."""
         self._sent = sent
-        exchange = DirectExchange(upstream.address, self.deadline_s)
+        exchange = DirectExchange(upstream.address, self.deadline_s, should_leave)
         try:
             exchange.connect()
             self._send(exchange, upstream, workspace, rank)
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 import h11
@@ -27,6 +27,8 @@
 # Bytes that an upstream's machine has not acknowledged for this long never will be.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 KEEPALIVE_S = 1
+# How often a request that waits for bytes looks whether its upstream still gives signs of life.
+LOOK_EVERY_S = 0.2
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -48,6 +50,7 @@
 
     address: str
     deadline_s: float
+    should_leave: Callable[[], bool] = lambda: False
     has_sent: bool = False
     was_reset: bool = False
     _sock: socket.socket | None = None
@@ -129,15 +132,24 @@
                 raise AttemptFailed(end, f"no HTTP answer: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            with self._time_left():
-                try:
-                    got = _receive(self._sock)
-                except OSError as error:
-                    self.was_reset = True
-                    raise AttemptFailed(end, str(error)) from error
+            try:
+                got = self._wait_for_bytes(end)
+            except OSError as error:
+                self.was_reset = True
+                raise AttemptFailed(end, str(error)) from error
             self.was_reset = self.was_reset or not got
             self._http.receive_data(got)
 
+    def _wait_for_bytes(self, end: AttemptEnd) -> bytes:
+        while True:
+            left_s = self.deadline_s - now_s()
+            with eventlet.Timeout(max(0.0, min(left_s, LOOK_EVERY_S)), False):
+                return _receive(self._sock)
+            if now_s() >= self.deadline_s:
+                raise AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed")
+            if self.should_leave():
+                raise AttemptFailed(end, "its machine stands still")
+
     def _has_answer(self) -> bool:
         with contextlib.suppress(OSError), eventlet.Timeout(CONNECT_TIMEOUT_S, False):
             got = _receive(self._sock)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -15,7 +15,14 @@
 from daisystack.core.crash_hold import CrashHold, Suspicion
 from daisystack.core.direct_request import DirectRequest, RequestRefused
 from daisystack.core.mirror import Mirror
-from daisystack.core.placement import DirectUpstream, Placement, Refusal, Wish
+from daisystack.core.placement import (
+    STILL_PAUSE_S,
+    DirectUpstream,
+    Placement,
+    Refusal,
+    Sent,
+    Wish,
+)
 from daisystack.core.requests import (
     AttemptOutcome,
     Done,
@@ -76,6 +83,18 @@
         self.retry_after_s = retry_after_s
 
 
+@attrs.frozen(eq=False)
+class _Serving:
+    """Hold what one request is about while it is served."""
+
+    request: DirectRequest
+    route: Route
+    service: str
+    state: RequestState
+    attempt: DirectAttempt
+    story: RequestStory
+
+
 @define(eq=False)
 class DirectRequests:
     """Own the requests in progress at one entry."""
@@ -136,35 +155,29 @@
         )
         self._budgets.earn(service, now_s())
         attempt = DirectAttempt(self.dialect, request, route, responder, state.deadline_s)
-        self._attempt_until_done(request, route, service, state, attempt, story)
+        self._attempt_until_done(_Serving(request, route, service, state, attempt, story))
 
-    def _attempt_until_done(
-        self,
-        request: DirectRequest,
-        route: Route,
-        service: str,
-        state: RequestState,
-        attempt: DirectAttempt,
-        story: RequestStory,
-    ) -> None:
+    def _attempt_until_done(self, serving: _Serving) -> None:
+        request, story = serving.request, serving.story
         while True:
             try:
                 self._check_hold(request)
-                upstream = self._choose(request, route, service, state, attempt, story)
+                upstream = self._choose(serving)
                 # Again at the moment a request leaves, since a pause may lie between.
-                workspace = self._authorize(self._policy(), route, request)
+                workspace = self._authorize(self._policy(), serving.route, request)
             except _Answered as answered:
-                self._end_unsent(answered, state, attempt, story)
+                self._end_unsent(answered, serving)
                 return
             story.attempts += 1
             story.upstream = upstream.id
-            outcome = self._attempt(request, route, attempt, upstream, workspace, story)
-            step = state.after(outcome, _Spend(self._budgets, service, self.entries()), now_s())
+            outcome = self._attempt(serving, upstream, workspace)
+            spend = _Spend(self._budgets, serving.service, self.entries())
+            step = serving.state.after(outcome, spend, now_s())
             if isinstance(step, Done):
-                self._log(story, "served", attempt.status, Verdict.RAN, "")
+                self._log(story, "served", serving.attempt.status, Verdict.RAN, "")
                 return
             if isinstance(step, GiveUp):
-                self._give_up(step, state, attempt, story)
+                self._give_up(step, serving)
                 return
 
     def _policy(self) -> TrafficPolicy:
@@ -208,39 +221,54 @@
         if self.hold.judge(_fingerprint(request), now_s()) is Suspicion.HELD:
             raise _Answered(502, "it crashed the upstreams that ran it")
 
-    def _choose(
-        self,
-        request: DirectRequest,
-        route: Route,
-        service: str,
-        state: RequestState,
-        attempt: DirectAttempt,
-        story: RequestStory,
-    ) -> DirectUpstream:
+    def _choose(self, serving: _Serving) -> DirectUpstream:
         at_s = now_s()
-        if at_s >= state.deadline_s:
+        if at_s >= serving.state.deadline_s:
             raise _Answered(503, "deadline has passed")
+        wish = self._wish(serving, at_s)
+        chosen = self.placement.choose(wish, at_s)
+        if isinstance(chosen, Refusal):
+            raise _Answered(503, chosen.reason, self._retry_after_s(chosen))
+        if not serving.state.outcomes:
+            story = serving.story
+            story.predicted_s = self.placement.predict_s(chosen, wish, at_s) or -1.0
+            story.in_flight = self.placement.in_flight(chosen.id, at_s)
+        return chosen
+
+    def _wish(self, serving: _Serving, at_s: float) -> Wish:
+        request, route, story = serving.request, serving.route, serving.story
         prompt = request.prompt
+        is_first = not serving.state.outcomes
         left_s = route.objective_s - story.spent_s - (at_s - request.arrived_s)
-        is_new = not state.outcomes and story.spent_s == 0.0 and route.objective_s > 0
-        wish = Wish(
-            service=service,
+        is_new = is_first and story.spent_s == 0.0 and route.objective_s > 0
+        return Wish(
+            service=serving.service,
             zone=self.settings.zone,
-            exact_version=attempt.exact_version,
+            exact_version=serving.attempt.exact_version,
             old_until_s=self._old_until(request),
-            unwanted=state.tried(),
+            unwanted=serving.state.tried(),
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             answer_tokens=prompt.expected_answer_tokens if prompt else 0,
             first_event_s=max(0.0, left_s) if is_new else None,
-            is_return=story.spent_s > 0.0 and not state.outcomes,
+            is_return=is_first and story.spent_s > 0.0,
+            is_in_crowd=not is_first,
         )
-        chosen = self.placement.choose(wish, at_s)
-        if isinstance(chosen, Refusal):
-            raise _Answered(503, chosen.reason, self._retry_after_s(chosen))
-        if not state.outcomes:
-            story.predicted_s = self.placement.predict_s(chosen, wish, at_s) or -1.0
-            story.in_flight = self.placement.in_flight(chosen.id, at_s)
-        return chosen
+
+    def _should_leave(self, serving: _Serving, sent: Sent) -> bool:
+        """Say whether an attempt is stuck and another upstream can take its request now."""
+        at_s = now_s()
+        if not self.placement.is_stuck(sent, at_s) or not serving.state.may_leave(at_s):
+            return False
+        if not self._budgets.has(serving.service, self.entries(), at_s):
+            return False
+        tried = serving.state.tried() | {sent.upstream_id}
+        wish = attrs.evolve(
+            self._wish(serving, at_s), unwanted=tried, first_event_s=None, is_return=False
+        )
+        if isinstance(self.placement.choose(wish, at_s), Refusal):
+            return False
+        self.placement.avoid(sent.upstream_id, at_s, STILL_PAUSE_S)
+        return True
 
     def _old_until(self, request: DirectRequest) -> Callable[[int], float] | None:
         if request.prompt is None:
@@ -250,21 +278,22 @@
         return lambda version: self.published.targets.old_until_s(model, version, bound_s)
 
     def _attempt(
-        self,
-        request: DirectRequest,
-        route: Route,
-        attempt: DirectAttempt,
-        upstream: DirectUpstream,
-        workspace: Workspace | None,
-        story: RequestStory,
+        self, serving: _Serving, upstream: DirectUpstream, workspace: Workspace | None
     ) -> AttemptOutcome:
+        request, attempt, story = serving.request, serving.attempt, serving.story
         begun_s = now_s()
         in_flight = self.placement.in_flight(upstream.id, begun_s)
         version = self.placement.version_of(upstream, begun_s)
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, begun_s)
         try:
-            ended = attempt.run(upstream, workspace, self._rank(workspace, route), sent)
+            ended = attempt.run(
+                upstream,
+                workspace,
+                self._rank(workspace, serving.route),
+                sent,
+                lambda: self._should_leave(serving, sent),
+            )
         finally:
             self.placement.end(sent, now_s())
         if story.first_event_s < 0 and attempt.first_event_s is not None:
@@ -309,10 +338,9 @@
         self.placement.avoid(upstream.id, now_s())
         self.hold.died(_fingerprint(request), now_s())
 
-    def _end_unsent(
-        self, answered: _Answered, state: RequestState, attempt: DirectAttempt, story: RequestStory
-    ) -> None:
+    def _end_unsent(self, answered: _Answered, serving: _Serving) -> None:
         """End a request that is not sent to another upstream any more."""
+        state, attempt, story = serving.state, serving.attempt, serving.story
         if attempt.has_begun:
             self._break_off(attempt, story, answered.reason)
         elif attempt.kept_failure is not None:
@@ -323,11 +351,9 @@
             status = 504 if now_s() >= state.deadline_s else 502
             self._fail(attempt, story, state.verdict, status, answered.reason)
 
-    def _give_up(
-        self, step: GiveUp, state: RequestState, attempt: DirectAttempt, story: RequestStory
-    ) -> None:
+    def _give_up(self, step: GiveUp, serving: _Serving) -> None:
         retry_after_s = self._retry_after_s(Refusal(step.reason, True))
-        self._end_unsent(_Answered(503, step.reason, retry_after_s), state, attempt, story)
+        self._end_unsent(_Answered(503, step.reason, retry_after_s), serving)
 
     def _retry_after_s(self, refusal: Refusal) -> float:
         # Spread, so that those turned away together don't come back together.
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -233,6 +233,24 @@
         self.assertEqual(self.pool.choose(later, 7.0).id, "a")
 
 
+class TestCrowd(unittest.TestCase):
+    def test_streams_of_a_dead_engine_spread_over_the_others(self):
+        """Freeze of one engine of five: eight entries move five streams each at the same moment."""
+        counts = dict.fromkeys("abcd", 0)
+        wish = attrs.evolve(PROMPT, first_event_s=None, is_in_crowd=True)
+        for index in range(8):
+            pool = build_pool(*(build_engine(id) for id in "abcd"))
+            pool.draw = random.Random(index)
+            for id, running in zip("abcd", (0, 6, 6, 6), strict=True):
+                pool.engines.heard(build_news(id, 0.0, running=running))
+            for _ in range(5):
+                chosen = pool.choose(wish, 0.1)
+                pool.begin(chosen.id, 1000, 0.1)
+                counts[chosen.id] += 1
+        # The emptiest one is in half of all pairs; it would get all 40 if each took the best.
+        self.assertLessEqual(max(counts.values()), 2 / 3 * 40)
+
+
 class TestFailures(unittest.TestCase):
     def test_a_refused_connection_keeps_work_away_for_a_while(self):
         placement = build_pool(build_engine("a"), build_engine("b", zone="z2"))
--- /dev/null
+++ b/daisystack/tests/test_standstill.py
@@ -0,0 +1,137 @@
+"""Requests that wait at an engine whose machine stands still, and who may go elsewhere."""
+
+import unittest
+
+import attrs
+
+from daisystack.core.requests import RequestState
+from daisystack.core.traffic import RequestKind
+from daisystack.testing.direct import (
+    RecordingResponder,
+    build_figures,
+    build_inbound,
+    build_policy,
+    build_requests,
+    build_route,
+    build_upstream,
+)
+from daisystack.testing.scripted import ScriptedServer, read_request
+from daisystack.tests.test_placement import build_engine, build_news, build_pool
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nDaisystack-Mark: m\r\n"
+    b"Daisystack-Version: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def chunk(body):
+    return b"%x\r\n%s\r\n" % (len(body), body)
+
+
+def stop_after(*numbers):
+    """Return a script that sends some events and then stands still."""
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(HEAD + b"".join(chunk(event(n)) for n in numbers) if numbers else b"")
+        sock.recv(1)
+
+    return script
+
+
+class TestStuck(unittest.TestCase):
+    def setUp(self):
+        self.pool = build_pool(build_engine("a"))
+        self.pool.engines.heard(build_news("a", 0.0))
+        self.sent = self.pool.begin("a", 100, 0.0)
+
+    def test_a_request_is_stuck_when_neither_engine_nor_agent_gives_a_sign(self):
+        self.assertFalse(self.pool.is_stuck(self.sent, 0.7))
+        self.assertTrue(self.pool.is_stuck(self.sent, 0.9))
+        self.assertTrue(self.pool.is_stuck(self.sent, 90.0))
+
+    def test_an_agent_that_speaks_shows_that_the_machine_runs(self):
+        self.pool.engines.heard(build_news("a", 5.0))
+        self.assertFalse(self.pool.is_stuck(self.sent, 5.5))
+
+    def test_another_request_s_events_show_that_the_engine_runs(self):
+        other = self.pool.begin("a", 100, 0.0)
+        other.heard_s = 5.0
+        self.assertFalse(self.pool.is_stuck(self.sent, 5.5))
+        self.pool.end(other, 5.1)
+        self.assertFalse(self.pool.is_stuck(self.sent, 5.5))
+
+    def test_a_plain_upstream_is_never_judged_by_its_silence(self):
+        self.pool.list(build_upstream("p", "p:1"))
+        sent = self.pool.begin("p", 0, 0.0)
+        self.assertFalse(self.pool.is_stuck(sent, 90.0))
+
+    def test_only_what_may_run_twice_may_leave_and_not_at_its_last_attempt(self):
+        for repeatable, attempts, at_s, expected in [
+            (True, 2, 1.0, True),
+            (False, 2, 1.0, False),
+            (True, 1, 1.0, False),
+            (True, 2, 4.99, False),
+        ]:
+            with self.subTest(repeatable=repeatable, attempts=attempts, at_s=at_s):
+                state = RequestState(repeatable, 5.0, max_attempts=attempts)
+                self.assertIs(state.may_leave(at_s), expected)
+
+
+class TestLeaving(unittest.TestCase):
+    """Freeze under load: streams of a frozen engine go on at another one within their time."""
+
+    def setUp(self):
+        self.seen = []
+
+    def finish_with(self, *numbers):
+        def script(sock):
+            self.seen.append(read_request(sock).lower())
+            sock.sendall(HEAD + b"".join(chunk(event(n)) for n in numbers) + b"0\r\n\r\n")
+
+        return script
+
+    def serve(self, first, second, retry_slack=100.0, **route):
+        servers = [ScriptedServer([script]) for script in (first, second)]
+        for server in servers:
+            self.addCleanup(server.close)
+        usual = {"service": "llm", "is_resumable": True, "timeout_s": 1.6, "objective_s": 0.0}
+        policy = build_policy(build_route(RequestKind.STREAM, **(usual | route)))
+        engine = {"service": "llm", "has_engine": True, "version": 1, "slots": 16}
+        # The nearer one is tried first.
+        near = build_upstream("a", servers[0].address, zone="z1", **engine)
+        far = build_upstream("b", servers[1].address, zone="z2", **engine)
+        requests = build_requests(policy, [near, far])
+        requests.placement.figures["llm"] = build_figures()
+        settings = attrs.evolve(requests.settings, retry_ratio=0.0, retry_slack=retry_slack)
+        responder = RecordingResponder()
+        inbound = build_inbound(daisystack_tokens="100")
+        attrs.evolve(requests, settings=settings).handle(inbound, responder)
+        return responder
+
+    def test_before_its_first_event_it_starts_anew(self):
+        responder = self.serve(stop_after(), self.finish_with(1, 2))
+        self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
+
+    def test_midway_it_goes_on_after_the_last_event(self):
+        responder = self.serve(stop_after(1), self.finish_with(1, 2))
+        self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
+        self.assertIn(b"last-event-id: 1\r\n", self.seen[0])
+
+    def test_what_may_not_run_twice_stays_until_its_time_is_over(self):
+        responder = self.serve(stop_after(1), self.finish_with(1, 2), is_resumable=False)
+        self.assertEqual((responder.body, responder.is_done), (event(1), False))
+        self.assertEqual(self.seen, [])
+
+    def test_without_a_retry_left_it_stays(self):
+        responder = self.serve(stop_after(), self.finish_with(1, 2), retry_slack=0.0)
+        self.assertEqual(responder.status, 504)
+        self.assertEqual(self.seen, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
