Add explain, which tells a request's story from the logs of several processes

Cause: OPERATIONS led from an id to its cause by hand: the request's own lines, then what its process believed, then the engine's agent, whose name the request's lines do not hold.

Change: `daisystack explain ID [FILES]` reads what daemons wrote, and prints in order the request's lines, the newest beliefs of its process when it was decided, what was published of its upstream, what the agent beside that engine did around it, and how other requests at the upstream ended. The line that counts left-out lines bears its time and instance like all others, so that it can be read back too; its test writes through the daemons' formatter now.

Ruled out: a table for the terminal; lines can be searched and pasted.

--- a/daisystack/cli.py
+++ b/daisystack/cli.py
@@ -129,6 +129,27 @@
         raise typer.Exit(EXIT_REFUSED)
 
 
+@app.command("explain")
+def explain(
+    request_id: Annotated[str, typer.Argument(help="The id that the caller gave its request")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="What the processes logged; else standard input")
+    ] = None,
+) -> None:
+    """Tell a request's story from logs; exits 1 when no line names it."""
+    from daisystack.explain import explain_request
+
+    try:
+        story = explain_request(request_id, files or ())
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED) from None
+    if not story:
+        print(f"no line names request {request_id!r}", file=sys.stderr)
+        raise typer.Exit(1)
+    print("\n".join(story))
+
+
 @app.command("status")
 def status(
     entry: Annotated[str, typer.Option(envvar="DAISYSTACK_ENTRY", help="ip:port of an entry")],
--- a/daisystack/runtime/logs.py
+++ b/daisystack/runtime/logs.py
@@ -20,6 +20,8 @@
     "AUDIT_LOGGER",
     "BoundedHandler",
     "KeyValueFormatter",
+    "build_formatter",
+    "event_name",
     "log_event",
     "record_audit",
     "set_up_logging",
@@ -45,15 +47,19 @@
         return " ".join(f"{key}={_render(value)}" for key, value in log_data.items())
 
 
-def set_up_logging(who: str) -> None:
-    """Send events to standard output, each line naming the instance."""
-    formatter = KeyValueFormatter(
+def build_formatter(who: str) -> KeyValueFormatter:
+    """Return the formatter of an instance's lines."""
+    return KeyValueFormatter(
         ["asctime", "levelname", "name", "message"],
         rename_fields={"asctime": "at", "levelname": "level", "name": "stream", "message": "event"},
         static_fields={"who": who},
     )
+
+
+def set_up_logging(who: str) -> None:
+    """Send events to standard output, each line naming the instance."""
     handler = BoundedHandler()
-    handler.setFormatter(formatter)
+    handler.setFormatter(build_formatter(who))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
@@ -78,7 +84,7 @@
             return
         dropped = self.budget.take_dropped()
         if dropped:
-            self._write(f"event=log_lines_left_out level=WARNING lines={dropped}")
+            self._write(self.format(_left_out(dropped)))
         self._write(self.format(record))
 
     def _write(self, line: str) -> None:
@@ -94,6 +100,11 @@
             self.budget.drop()
 
 
+def _left_out(lines: int) -> logging.LogRecord:
+    left_out = {"name": __name__, "levelno": logging.WARNING, "levelname": "WARNING"}
+    return logging.makeLogRecord(left_out | {"msg": "log_lines_left_out", "lines": lines})
+
+
 def log_event(logger: logging.Logger, event: object, level: int = logging.INFO) -> None:
     """Log an attrs object under its class's name."""
     logger.log(level, event_name(event), extra=attrs.asdict(event, recurse=False))
--- a/daisystack/tests/test_direct_parts.py
+++ b/daisystack/tests/test_direct_parts.py
@@ -9,7 +9,7 @@
 
 from daisystack.core.log_budget import LogBudget
 from daisystack.core.settings import SettingsRefused
-from daisystack.runtime.logs import BURST_LINES, BoundedHandler
+from daisystack.runtime.logs import BURST_LINES, BoundedHandler, build_formatter
 from daisystack.runtime.settings_watch import SettingsWatch
 from daisystack.testing.direct import build_inbound, build_policy, build_requests, build_route
 from daisystack.tests.test_direct_entry import build_entry
@@ -57,6 +57,7 @@
         self.addCleanup(os.close, self.reader)
         self.addCleanup(os.close, self.writer)
         self.handler = BoundedHandler(self.writer)
+        self.handler.setFormatter(build_formatter("e1"))
 
     def emit(self, count):
         for number in range(count):
