Let agents load an older version while the newest one's pieces cannot be had

Versions 2 and 3 are named 2 s apart and the origin dies 0.5 s after the second. The entries held version 2 whole, but the agents dropped it half staged for version 3, whose pieces came 6 s later. Version 1 ended meanwhile: 1,170 refusals with "no upstream is there for it" from second 24.5 to 31.9 in the request lines of the loan desk.

Change: an agent works on the newest version of which a piece is there, among those that may serve for 2 s more. Where its pieces stop coming for 0.8 s and an older one is of use, the newest is left alone for 3 s. An older version is loaded as soon as it is staged, without a turn.

The gap between the end of version 2 and version 3 stays: 4.4 s of a full link.

--- a/daisystack/core/targets.py
+++ b/daisystack/core/targets.py
@@ -9,6 +9,8 @@
 LONG_AGO_S = float("-inf")
 # A process in touch learns of a version within this, so one that it never saw is no older.
 SKIPPED_MARGIN_S = 2.0
+# An engine loads for some tenths of a second, and gets nothing in a version's last second and more.
+MIN_LIFE_S = 2.0
 
 
 @frozen
@@ -61,6 +63,15 @@
         later = [v for v in self._learned_s.get(model, ()) if v > version]
         return self._learned_s[model][min(later)] + bound_s if later else float("inf")
 
+    def useful(self, model: str, above: int, bound_s: float, now_s: float) -> list[int]:
+        """Return the versions above one that may serve for a while yet, the newest first."""
+        known = sorted(self._learned_s.get(model, ()), reverse=True)
+        return [
+            version
+            for version in known
+            if version > above and self.old_until_s(model, version, bound_s) - now_s >= MIN_LIFE_S
+        ]
+
     def age_s(self, model: str, now_s: float) -> float:
         """Return how long ago the wanted version was learned."""
         learned_s = self._learned_s.get(model)
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable
 
 import eventlet
@@ -43,6 +44,7 @@
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
 from daisystack.runtime.tasks import run_steps
+from daisystack.wire.gen import ttypes
 
 __all__ = ["StagedPieces", "WeightAgent"]
 
@@ -61,6 +63,15 @@
 PULL_TIMEOUT_S = 4.0
 # A piece that is asked for in vain is asked of another entry after this.
 RETRY_S = 0.1
+# How often an agent that stages an older version asks whether the newest one can be had.
+ASK_EVERY_S = 0.3
+# A piece takes under a tenth of a second on an agent's link; where none comes for so long, their
+# source is gone.
+STALL_S = 0.8
+# An origin that died is back after some seconds, and an older version is staged in some five.
+SHUN_S = 3.0
+# Whether a piece is there is told with any part of it.
+PROBE_BYTES = 1
 # An engine that took an order reports it within this time.
 ORDER_SETTLE_S = 0.3
 
@@ -73,6 +84,7 @@
 
     begun_s: float
     wanted: int
+    last_s: float
     done: int = 0
 
     def end_s(self, at_s: float) -> float | None:
@@ -99,6 +111,10 @@
     _staged_for: tuple[str, int, int] | None = None
     _is_lost: bool = False
     _pulling: _Pulling | None = None
+    _asked_s: float = float("-inf")
+    _asked: int = 0
+    _shunned_until_s: dict[int, float] = field(factory=dict)
+    _draw: random.Random = field(factory=random.SystemRandom)
 
     def __attrs_post_init__(self) -> None:
         place = self.settings.place
@@ -190,10 +206,8 @@
             return
         if state is not None and (state.version == target.version or state.is_busy):
             return
-        pieces = self._list(target)
-        if pieces is None:
-            return
-        if state is None:
+        pieces = self._find_goal(target.model)
+        if pieces is None or state is None:
             return
         if not self._stage(pieces, state):
             return
@@ -204,19 +218,56 @@
         model = self.state.model if self.state else ""
         return next((t for t in targets if t.model == model), targets[0] if targets else None)
 
-    def _list(self, target: WeightTarget) -> PieceList | None:
-        for member in self._entries():
-            link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
-            try:
-                digests = link.call("digests", target.model, target.version)
-                if digests:
-                    return PieceList(target.model, target.version, tuple(digests))
-            except (PeerError, ValueError) as error:
-                log_event(_logger, WeightSourceFailed(member.id, str(error)))
-            finally:
-                link.close()
+    def _find_goal(self, model: str) -> PieceList | None:
+        """Return the pieces of the newest version that can be had and serves for a while yet."""
+        useful = self._useful(model)
+        for version in useful:
+            if version != useful[-1] and self._is_shunned(version):
+                continue
+            pieces = self._find_list(WeightTarget(model, version))
+            if pieces is not None and (version == useful[-1] or self._is_held(pieces)):
+                return pieces
         return None
 
+    def _is_shunned(self, version: int) -> bool:
+        return now_s() < self._shunned_until_s.get(version, float("-inf"))
+
+    def _find_list(self, target: WeightTarget) -> PieceList | None:
+        lists = (self._ask_list(member, target) for member in self._entries())
+        return next((pieces for pieces in lists if pieces is not None), None)
+
+    def _is_held(self, pieces: PieceList) -> bool:
+        """Say whether an entry has a piece of a version, any one, and not its list alone."""
+        index = self._draw.randrange(len(pieces.digests))
+        member = self._holder(index)
+        if member is None:
+            return False
+        link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
+        try:
+            ask = ttypes.PieceAsk(pieces.model, pieces.version, index, 0, 0, PROBE_BYTES)
+            return link.call("piece", ask).held
+        except PeerError as error:
+            log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            return False
+        finally:
+            link.close()
+
+    def _useful(self, model: str) -> list[int]:
+        serving = self.state.version if self.state else 0
+        bound_s = self.settings.version_bound_s
+        return self.mesh.targets.useful(model, serving, bound_s, now_s())
+
+    def _ask_list(self, member: Member, target: WeightTarget) -> PieceList | None:
+        link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
+        try:
+            digests = link.call("digests", target.model, target.version)
+            return PieceList(target.model, target.version, tuple(digests)) if digests else None
+        except (PeerError, ValueError) as error:
+            log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            return None
+        finally:
+            link.close()
+
     def _entries(self) -> list[Member]:
         """Return the live entries, those of the own zone first."""
         entries = self.mesh.live_entries(now_s())
@@ -254,7 +305,7 @@
         wanted: Queue = Queue()
         for index in missing:
             wanted.put(index)
-        self._pulling = _Pulling(now_s(), len(missing))
+        self._pulling = _Pulling(now_s(), len(missing), now_s())
         count = PULL_LANES if self._serves else IDLE_PULL_LANES
         lanes = [eventlet.spawn(self._pull_lane, pieces, wanted) for _ in range(count)]
         for lane in lanes:
@@ -276,8 +327,34 @@
                 link.close()
 
     def _is_wanted(self, pieces: PieceList) -> bool:
-        target = self._target()
-        return target is not None and target.version == pieces.version
+        """Say whether no newer version can be had, and this one serves for a while yet."""
+        useful = self._useful(pieces.model)
+        if pieces.version not in useful:
+            return False
+        newest = useful[0]
+        if newest == pieces.version:
+            return len(useful) == 1 or not self._is_stalled(pieces.version)
+        return not self._can_be_had(WeightTarget(pieces.model, newest))
+
+    def _is_stalled(self, version: int) -> bool:
+        """Say whether pieces have stopped coming; the version is left alone for a while then."""
+        pulling = self._pulling
+        at_s = now_s()
+        if pulling is None or at_s - pulling.last_s <= STALL_S:
+            return False
+        self._shunned_until_s = {version: at_s + SHUN_S}
+        return True
+
+    def _can_be_had(self, target: WeightTarget) -> bool:
+        """Ask one entry after the other, now and then, whether a version's pieces come."""
+        at_s = now_s()
+        entries = self._entries()
+        if at_s - self._asked_s < ASK_EVERY_S or not entries or self._is_shunned(target.version):
+            return False
+        self._asked_s = at_s
+        self._asked += 1
+        pieces = self._ask_list(entries[self._asked % len(entries)], target)
+        return pieces is not None and self._is_held(pieces)
 
     def _pull(self, pieces: PieceList, index: int, links: dict[str, PeerLink]) -> bool:
         member = self._holder(index)
@@ -303,6 +380,7 @@
             return False
         if self._pulling is not None:
             self._pulling.done += 1
+            self._pulling.last_s = now_s()
         return True
 
     @property
@@ -327,7 +405,7 @@
         at_s = now_s()
         if state is None or state.is_busy or state.version == pieces.version:
             return
-        if state.version > 0 and at_s < self._turn_s(pieces.model, self._ready_s, at_s):
+        if self._waits_for_turn(pieces, state, at_s):
             return
         # Pieces rot where they lie, so they are read once more just before they are taken.
         if self._missing(pieces) or not self._is_wanted(pieces):
@@ -344,12 +422,20 @@
         )
         eventlet.sleep(ORDER_SETTLE_S)
 
+    def _waits_for_turn(self, pieces: PieceList, state: EngineState, at_s: float) -> bool:
+        # An older version serves for a short time only, so nobody waits to load it.
+        is_newest = pieces.version == self.mesh.targets.version(pieces.model)
+        if state.version == 0 or not is_newest:
+            return False
+        return at_s < self._turn_s(pieces.model, self._ready_s, at_s)
+
     def _loads_at_s(self, at_s: float) -> float | None:
         """Return when the engine is expected to be ordered, None while that can't be told."""
         target = self._target()
         if target is None or not self._serves or self.state.version == target.version:
             return None
-        ready_s = self._ready_s
+        is_staged = self._staged_for is not None and self._staged_for[1] > self.state.version
+        ready_s = self._ready_s if is_staged else None
         if self._pulling is not None:
             ready_s = self._pulling.end_s(at_s)
         if ready_s is None:
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -76,6 +76,19 @@
         self.assertEqual(targets.old_until_s("m", 1, 8.0), 18.0)
         self.assertEqual(targets.old_until_s("m", 2, 8.0), float("inf"))
 
+    def test_an_older_version_is_of_use_while_it_serves_for_a_while(self):
+        targets = Targets()
+        for version, at_s in [(1, LONG_AGO_S), (2, 10.0), (3, 12.0)]:
+            targets.take(WeightTarget("m", version), at_s)
+        for above, at_s, useful in [
+            (1, 13.0, [3, 2]),
+            (1, 18.5, [3]),
+            (2, 13.0, [3]),
+            (3, 13.0, []),
+        ]:
+            with self.subTest(above=above, at_s=at_s):
+                self.assertEqual(targets.useful("m", above, 8.0, at_s), useful)
+
     def test_each_version_ends_a_bound_after_the_next_was_named(self):
         targets = Targets()
         for version, at_s in [(1, LONG_AGO_S), (2, 10.0), (3, 12.0)]:
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -247,6 +247,59 @@
         site.run()
         self.assert_whole(engine, 3)
 
+    def build_bumped(self, ends_in_s, knows_list=False):
+        """Return a site of version 1 whose entries hold version 2 while 3 cannot be had."""
+
+        class NoThird(FakeOrigin):
+            def piece_list(self, model, version):
+                if version == 3 and self.is_away and not knows_list:
+                    raise BackendError("away")
+                return list_of(version)
+
+        site = Site(FakeEngine(version=1), NoThird(), version=1)
+        site.want(2, now_s() - 1.0)
+        for index in range(PIECES):
+            site.pieces.piece("m", 2, index, 1.0)
+        site.origin.is_away = True
+        site.want(3, now_s() - BOUND_S + ends_in_s)
+        return site
+
+    def test_a_version_that_can_be_had_serves_until_the_next_one_comes(self):
+        """Two versions named a moment apart, and the origin dies before the second is brought."""
+        for knows_list in (False, True):
+            with self.subTest(knows_list=knows_list):
+                site = self.build_bumped(6.0, knows_list)
+                with eventlet.Timeout(10):
+                    while site.engine.version != 2:
+                        site.step()
+                site.origin.is_away = False
+                site.run()
+                self.assert_whole(site.engine, 3)
+                self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
+
+    def test_an_origin_that_dies_while_it_hands_out_a_version_holds_nobody_up(self):
+        """Its first pieces have come, so that the version looks as if it could be had."""
+        site = self.build_bumped(6.0, knows_list=True)
+        site.origin.is_away = False
+        for index in range(2):
+            site.pieces.piece("m", 3, index, 1.0)
+        site.origin.is_away = True
+        with eventlet.Timeout(10):
+            while site.engine.version != 2:
+                site.step()
+        site.origin.is_away = False
+        site.run()
+        self.assert_whole(site.engine, 3)
+        self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
+
+    def test_a_version_that_soon_ends_is_not_loaded(self):
+        site = self.build_bumped(ends_in_s=1.0)
+        site.step(5)
+        self.assertEqual(site.engine.loaded, [])
+        site.origin.is_away = False
+        site.run()
+        self.assertEqual([version for version, _ in site.engine.loaded], [3])
+
     def test_an_origin_that_is_away_is_asked_again(self):
         engine, origin = FakeEngine(), FakeOrigin(is_away=True)
         site = Site(engine, origin)
