Count what other entries send unseen, and compare placement with baselines

Change: an own request that no report shows yet counts as many times as there are entries like this one, told from what all have in progress. benchmarks/ has the model engine and the comparison with two choices, fewest in flight and round robin.

--- /dev/null
+++ b/benchmarks/model_engine.py
@@ -0,0 +1,134 @@
+"""An engine that reads prompts and writes answers in passes, in simulated time."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from itertools import count
+
+from attrs import define, field
+
+from daisystack.core.traffic import EngineFigures
+
+__all__ = ["Ask", "Clock", "ModelEngine", "capacity_per_s"]
+
+QUEUE_LIMIT = 32
+
+
+@define(eq=False)
+class Clock:
+    """Run callbacks in the order of their times."""
+
+    now_s: float = 0.0
+    _due: list = field(factory=list)
+    _number: count = field(factory=count)
+
+    def at(self, when_s: float, call: Callable[[], None]) -> None:
+        """Run a callback at a time."""
+        heapq.heappush(self._due, (when_s, next(self._number), call))
+
+    def run(self, until_s: float) -> None:
+        """Run all that is due before a time."""
+        while self._due and self._due[0][0] <= until_s:
+            self.now_s, _, call = heapq.heappop(self._due)
+            call()
+
+
+@define(eq=False)
+class Ask:
+    """One request; its times are absolute, None while they have not come."""
+
+    arrived_s: float
+    entry: int
+    zone: str
+    prompt_tokens: int
+    answer_tokens: int
+    first_event_s: float | None = None
+    was_refused: bool = False
+    unread_tokens: int = field(init=False)
+    unwritten_tokens: int = field(init=False)
+    on_event: Callable[[float, bool], None] = lambda now_s, is_last: None
+
+    def __attrs_post_init__(self) -> None:
+        self.unread_tokens = self.prompt_tokens
+        self.unwritten_tokens = self.answer_tokens
+
+
+@define(eq=False)
+class ModelEngine:
+    """Serve up to slots requests in passes; slowness stretches each pass."""
+
+    id: str
+    zone: str
+    figures: EngineFigures
+    clock: Clock
+    slots: int = 16
+    slowness: float = 1.0
+    still_until_s: float = 0.0
+    running: list[Ask] = field(factory=list)
+    queue: deque[Ask] = field(factory=deque)
+    _is_passing: bool = False
+
+    def take(self, ask: Ask) -> bool:
+        """Accept a request, False when the queue is full."""
+        if len(self.queue) >= QUEUE_LIMIT:
+            return False
+        self.queue.append(ask)
+        if not self._is_passing:
+            self._begin_pass()
+        return True
+
+    def stand_still(self, for_s: float) -> None:
+        """Stop all work for a while."""
+        self.still_until_s = self.clock.now_s + for_s
+
+    def _begin_pass(self) -> None:
+        while self.queue and len(self.running) < self.slots:
+            self.running.append(self.queue.popleft())
+        self._is_passing = bool(self.running)
+        if not self._is_passing:
+            return
+        read = self._read_prompts()
+        took_s = self._pass_s(read) * self.slowness
+        self.clock.at(self.clock.now_s + took_s, self._end_pass)
+
+    def _read_prompts(self) -> int:
+        left = self.figures.chunk_tokens
+        for ask in self.running:
+            part = min(left, ask.unread_tokens)
+            ask.unread_tokens -= part
+            left -= part
+        return self.figures.chunk_tokens - left
+
+    def _pass_s(self, read_tokens: int) -> float:
+        figures = self.figures
+        writing = len(self.running)
+        context = sum(ask.prompt_tokens for ask in self.running)
+        step_s = figures.step_s + figures.step_per_sequence_s * writing
+        step_s += figures.step_per_context_token_s * context
+        read_s = read_tokens / figures.read_tokens_per_s
+        read_s += figures.pair_s * read_tokens * figures.usual_prompt_tokens / 2
+        return figures.steps_per_pass * step_s + read_s
+
+    def _end_pass(self) -> None:
+        if self.clock.now_s < self.still_until_s:
+            self.clock.at(self.still_until_s, self._end_pass)
+            return
+        for ask in [ask for ask in self.running if ask.unread_tokens == 0]:
+            ask.unwritten_tokens -= self.figures.steps_per_pass
+            is_last = ask.unwritten_tokens <= 0
+            if is_last:
+                self.running.remove(ask)
+            ask.on_event(self.clock.now_s, is_last)
+        self._begin_pass()
+
+
+def capacity_per_s(figures: EngineFigures, slots: int) -> float:
+    """Return the usual requests that one engine with all places taken ends in a second."""
+    passes = figures.usual_answer_tokens / figures.steps_per_pass
+    per_pass = slots / passes
+    step_s = figures.step_s + figures.step_per_sequence_s * slots
+    step_s += figures.step_per_context_token_s * slots * figures.usual_prompt_tokens
+    read_s = per_pass * figures.usual_prompt_tokens / figures.read_tokens_per_s
+    return per_pass / (figures.steps_per_pass * step_s + read_s)
--- /dev/null
+++ b/benchmarks/placement_policies.py
@@ -0,0 +1,234 @@
+"""Compare where entries send prompts: the placement, two choices, fewest in flight, round robin."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable
+from functools import partial
+from statistics import mean
+
+from attrs import define, field
+
+from benchmarks.model_engine import Ask, Clock, ModelEngine, capacity_per_s
+from daisystack.core.engine_news import EngineBoard, EngineNews
+from daisystack.core.placement import DirectUpstream, Placement, Refusal, Wish
+from daisystack.testing.direct import build_figures
+
+SECONDS = 30.0
+WARM_UP_S = 4.0
+ZONES = ("z1", "z2", "z3")
+ENGINES = 6
+ENTRIES = 8
+OBJECTIVE_S = 0.4
+MAX_PAUSE_S = 0.3
+# A report is read each tenth of a second and shows the state of two tenths before.
+REPORT_EVERY_S = 0.1
+REPORT_LAG_S = 0.2
+# News of engines in other zones come by gossip.
+FAR_LAG_S = 0.4
+# Entries tell each other what they have in progress.
+GOSSIP_S = 0.4
+LOADS = (0.6, 0.9, 1.3, 2.0)
+SEEDS = (1, 2, 3)
+TENTH = 0.1
+
+
+@define(eq=False)
+class Site:
+    """Hold engines, entries' views of them, and all requests."""
+
+    seed: int
+    load: float
+    policy: str
+    trouble: Callable[[Site], None] = lambda site: None
+    entries: int = ENTRIES
+    clock: Clock = field(factory=Clock)
+    engines: list[ModelEngine] = field(factory=list)
+    views: list[Placement] = field(factory=list)
+    asks: list[Ask] = field(factory=list)
+    served: dict[Ask, bool] = field(factory=dict)
+    draw: random.Random = field(init=False)
+    _turns: list[int] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.draw = random.Random(self.seed)
+        self._turns = [0] * self.entries
+        figures = build_figures()
+        for index in range(ENGINES):
+            zone = ZONES[index % len(ZONES)]
+            self.engines.append(ModelEngine(f"u{index}", zone, figures, self.clock))
+        for index in range(self.entries):
+            view = Placement(random.Random(index), EngineBoard(), {"llm": figures})
+            for engine in self.engines:
+                view.list(_publish(engine))
+            self.views.append(view)
+
+    def run(self) -> None:
+        """Play the whole time."""
+        rate = self.load * ENGINES * capacity_per_s(build_figures(), self.engines[0].slots)
+        at_s = 0.0
+        while at_s < SECONDS:
+            at_s += self.draw.expovariate(rate)
+            self.clock.at(at_s, self._arrive)
+        for step in range(int(SECONDS / REPORT_EVERY_S)):
+            self.clock.at(step * REPORT_EVERY_S, self._report)
+        for step in range(int(SECONDS / GOSSIP_S)):
+            self.clock.at(step * GOSSIP_S, self._gossip)
+        self.clock.at(SECONDS / 2, partial(self.trouble, self))
+        self.clock.run(SECONDS + 10.0)
+
+    def _arrive(self) -> None:
+        figures = build_figures()
+        entry = self.draw.randrange(self.entries)
+        prompt = int(self.draw.gammavariate(2.0, figures.usual_prompt_tokens / 2)) + 1
+        answer = int(self.draw.gammavariate(2.0, figures.usual_answer_tokens / 2)) + 1
+        zone = ZONES[entry % len(ZONES)]
+        ask = Ask(self.clock.now_s, entry, zone, prompt, answer)
+        self.asks.append(ask)
+        chosen = POLICIES[self.policy](self, ask)
+        if chosen is None or not self._send(ask, chosen):
+            ask.was_refused = True
+
+    def _send(self, ask: Ask, engine: ModelEngine) -> bool:
+        view = self.views[ask.entry]
+        sent = view.begin(engine.id, ask.prompt_tokens, self.clock.now_s)
+        last_s = [self.clock.now_s]
+        paused = [False]
+
+        def on_event(now_s: float, is_last: bool) -> None:
+            sent.heard_s = now_s
+            if ask.first_event_s is None:
+                ask.first_event_s = now_s
+            paused[0] = paused[0] or now_s - last_s[0] > MAX_PAUSE_S + OBJECTIVE_S
+            last_s[0] = now_s
+            if is_last:
+                view.end(sent, now_s)
+                in_time = ask.first_event_s - ask.arrived_s <= OBJECTIVE_S
+                self.served[ask] = in_time and not paused[0]
+
+        ask.on_event = on_event
+        if engine.take(ask):
+            return True
+        view.end(sent, self.clock.now_s)
+        return False
+
+    def _gossip(self) -> None:
+        told = [view.own_counts() for view in self.views]
+        for index, view in enumerate(self.views):
+            for other, counts in enumerate(told):
+                if other != index:
+                    view.heard_counts(f"e{other}", counts, self.clock.now_s)
+
+    def _report(self) -> None:
+        read_s = self.clock.now_s
+        for engine in self.engines:
+            if read_s < engine.still_until_s:
+                continue
+            told = (len(engine.running), len(engine.queue))
+            for index, view in enumerate(self.views):
+                near = ZONES[index % len(ZONES)] == engine.zone
+                lag_s = REPORT_LAG_S if near else REPORT_LAG_S + FAR_LAG_S / 2
+                news = _tell(engine, *told, read_s)
+                self.clock.at(read_s + lag_s, partial(view.engines.heard, news))
+
+
+def _publish(engine: ModelEngine) -> DirectUpstream:
+    return DirectUpstream(
+        engine.id, "llm", f"{engine.id}:1", engine.zone, engine.slots, True, 1, True, 1
+    )
+
+
+def _tell(engine: ModelEngine, running: int, queued: int, read_s: float) -> EngineNews:
+    return EngineNews(f"{engine.id}:1", 1, 1, True, False, running, queued, read_s)
+
+
+def _place(site: Site, ask: Ask) -> ModelEngine | None:
+    wish = Wish(
+        "llm",
+        ask.zone,
+        prompt_tokens=ask.prompt_tokens,
+        answer_tokens=0,
+        first_event_s=OBJECTIVE_S,
+    )
+    chosen = site.views[ask.entry].choose(wish, site.clock.now_s)
+    if isinstance(chosen, Refusal):
+        return None
+    return next(engine for engine in site.engines if engine.id == chosen.id)
+
+
+def _count(site: Site, ask: Ask, engine: ModelEngine) -> int:
+    return site.views[ask.entry].in_flight(engine.id, site.clock.now_s)
+
+
+def _fewest(site: Site, ask: Ask) -> ModelEngine:
+    return min(site.engines, key=lambda e: (_count(site, ask, e), site.draw.random()))
+
+
+def _two_choices(site: Site, ask: Ask) -> ModelEngine:
+    return min(site.draw.sample(site.engines, 2), key=lambda e: _count(site, ask, e))
+
+
+def _in_turn(site: Site, ask: Ask) -> ModelEngine:
+    site._turns[ask.entry] += 1
+    return site.engines[(site._turns[ask.entry] + ask.entry) % ENGINES]
+
+
+POLICIES = {
+    "placement": _place,
+    "two choices": _two_choices,
+    "fewest in flight": _fewest,
+    "round robin": _in_turn,
+}
+
+
+def _no_trouble(site: Site) -> None:
+    return None
+
+
+def _slow(site: Site) -> None:
+    site.engines[0].slowness = 2.0
+
+
+def _freeze(site: Site) -> None:
+    for engine in site.engines[:2]:
+        engine.stand_still(3.0)
+
+
+TROUBLES = {"none": _no_trouble, "one slow": _slow, "two frozen 3 s": _freeze}
+
+
+def _goodput(site: Site, asks: list[Ask]) -> float:
+    return sum(site.served.get(ask, False) for ask in asks) / len(asks)
+
+
+def _figures(policy: str, load: float, trouble: Callable[[Site], None], entries: int) -> str:
+    shares, largest, refused, late = [], [], [], []
+    for seed in SEEDS:
+        site = Site(seed, load, policy, trouble, entries)
+        site.run()
+        asks = [ask for ask in site.asks if ask.arrived_s >= WARM_UP_S]
+        sizes = sorted(ask.prompt_tokens for ask in asks)
+        limit = sizes[int(len(sizes) * (1 - TENTH))]
+        shares.append(_goodput(site, asks))
+        largest.append(_goodput(site, [ask for ask in asks if ask.prompt_tokens >= limit]))
+        refused.append(mean(ask.was_refused for ask in asks))
+        late.append(mean(not site.served.get(a, True) for a in asks))
+    return (
+        f"in time {mean(shares):.3f}  largest tenth {mean(largest):.3f}  "
+        f"refused {mean(refused):.3f}  late {mean(late):.3f}"
+    )
+
+
+def main() -> None:
+    """Print each policy's figures for each load and trouble."""
+    entries = int(sys.argv[1]) if len(sys.argv) > 1 else ENTRIES
+    for name, trouble in TROUBLES.items():
+        for load in LOADS:
+            for policy in POLICIES:
+                print(f"{name:15} load {load:.1f}  {policy:17} ", end="")
+                print(_figures(policy, load, trouble, entries))
+
+
+if __name__ == "__main__":
+    main()
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -158,6 +158,8 @@
     _told: dict[str, _Told] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _heard_s: dict[str, float] = field(factory=dict)
+    _others_total: int = 0
+    _others_sending: int = 0
 
     def list(self, upstream: DirectUpstream) -> None:
         """Take what is published of an upstream."""
@@ -205,6 +207,10 @@
     def heard_counts(self, entry_id: str, counts: dict[str, int], now_s: float) -> None:
         """Take another entry's counts."""
         self._told[entry_id] = _Told(counts, now_s)
+        recent = [t for t in self._told.values() if now_s - t.at_s <= COUNTS_LIFETIME_S]
+        totals = [sum(told.counts.values()) for told in recent]
+        self._others_total = sum(totals)
+        self._others_sending = sum(1 for total in totals if total)
 
     def succeeded(self, upstream_id: str, now_s: float) -> None:
         """Record an answer."""
@@ -223,7 +229,10 @@
         own = self._own.get(upstream_id, ())
         news = self._load_news(upstream_id, now_s)
         if news is not None:
-            since = sum(1 for sent in own if sent.sent_s > news.read_s)
+            # Other entries have the same news and choose alike, so each has sent about as many.
+            since = round(
+                self._count_senders() * sum(1 for sent in own if sent.sent_s > news.read_s)
+            )
             # A request that came and went since was never in the report.
             ended = sum(
                 1 for e in self._ended.get(upstream_id, ()) if e.sent_s <= news.read_s < e.at_s
@@ -236,6 +245,11 @@
         )
         return len(own) + others
 
+    def _count_senders(self) -> float:
+        """Return how many entries like this one send, by what all of them have in progress."""
+        own = sum(len(sent) for sent in self._own.values())
+        return 1.0 + min(self._others_total / max(1, own), self._others_sending)
+
     def predict_s(self, upstream: DirectUpstream, wish: Wish, now_s: float) -> float | None:
         """Predict the time to the first event, None for a plain upstream."""
         figures = self.figures.get(upstream.service)
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -68,6 +68,28 @@
         placement.end(sent[1], 1.45)
         self.assertEqual(placement.in_flight("a", 1.5), 5)
 
+    def test_others_send_alike_between_two_reports(self):
+        """Even load at eight entries: each own request since a report stands for eight."""
+        placement = build_pool(build_engine("a"))
+        placement.engines.heard(build_news("a", 1.0, running=4))
+        placement.begin("a", 100, 1.1)
+        self.assertEqual(placement.in_flight("a", 1.2), 5)
+        for other in range(7):
+            placement.heard_counts(f"e{other}", {"a": 1}, 1.2)
+        self.assertEqual(placement.in_flight("a", 1.2), 4 + 8)
+
+    def test_an_entry_that_sends_alone_counts_its_own_requests_once(self):
+        """Callers know one entry of eight: the idle ones' news keep nobody away."""
+        placement = build_pool(build_engine("a"))
+        placement.engines.heard(build_news("a", 1.0, running=4))
+        for _ in range(4):
+            placement.begin("a", 100, 1.1)
+        for other in range(7):
+            placement.heard_counts(f"e{other}", {}, 1.2)
+        self.assertEqual(placement.in_flight("a", 1.2), 4 + 4)
+        placement.heard_counts("e1", {"a": 4}, 1.2)
+        self.assertEqual(placement.in_flight("a", 1.2), 4 + 2 * 4)
+
     def test_eight_entries_do_not_all_choose_the_engine_that_looks_idle(self):
         """Herding: between two reports, eight entries with the same news spread their requests."""
         pools = [build_pool(*(build_engine(f"u{i}") for i in range(6))) for _ in range(8)]
