--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import socket
 import sys
 import time
@@ -46,6 +47,10 @@
     folder: Path
     entries: int = 2
     models: int = 2
+    # The region of each entry and agent by its name; the others are in the first one.
+    regions: dict[str, str] = field(factory=dict)
+    # Programs that can't reach the platform.
+    cut_off: frozenset[str] = frozenset()
     base_port: int = field(factory=lambda: _free_ports(PORTS))
     processes: Processes = field(init=False)
     _http: urllib3.PoolManager = field(factory=lambda: urllib3.PoolManager(retries=False))
@@ -65,19 +70,32 @@
         self.wait_for(lambda: all(self.is_ready(i) for i in range(self.entries)))
         # They find each other within some rounds of news.
         everybody = range(self.entries)
-        self.wait_for(lambda: all(len(self.addresses(i)) == self.entries for i in everybody))
+        self.wait_for(lambda: all(self.live_others(i) == self.entries - 1 for i in everybody))
 
     def start_entry(self, index: int) -> None:
         """Start an entry."""
         self._start_program(f"entry-{index}", "entry", self._host(index))
 
+    def start_runner(self, port: int) -> str:
+        """Start a plain runner of its own process, which a request can crash; return its name."""
+        name = f"runner-{port}"
+        where = str(self.base_port + port)
+        self.processes.start(name, "-m", STAND_IN, where, name)
+        self.wait_for(lambda: self._listens(self.base_port + port))
+        return name
+
+    def live_others(self, index: int) -> int:
+        """Return how many other entries an entry believes alive."""
+        found = re.search(r"^daisystack_live_entries (\d+)", self.metrics(index), re.MULTILINE)
+        return int(found[1]) if found else -1
+
     def is_ready(self, index: int) -> bool:
         """Say whether an entry takes callers."""
         return self._get(index, READY, "/daisystack/ready").status == 200
 
     def addresses(self, index: int) -> list[str]:
         """Ask an entry's directory which addresses to use."""
-        path = "/daisystack/resolve?name=site.example&region=r1&zone=z1"
+        path = "/daisystack/resolve?name=site.example&zone=" + self._zone(f"entry-{index}")
         answer = self._get(index, DIRECTORY, path)
         return json.loads(answer.body)["addresses"] if answer.status == 200 else []
 
@@ -145,6 +163,12 @@
     def _host(self, place: int) -> str:
         return f"127.0.0.{FIRST_HOST + place}"
 
+    def _region(self, name: str) -> str:
+        return self.regions.get(name, "r1")
+
+    def _zone(self, name: str) -> str:
+        return "z" + self._region(name)[1:]
+
     def _listens(self, port: int) -> bool:
         with socket.socket() as probe:
             return probe.connect_ex((HOST, port)) == 0
@@ -162,8 +186,8 @@
         lines = {
             "node_name": name,
             "ip": host,
-            "zone": "z1",
-            "region": "r1",
+            "zone": self._zone(name),
+            "region": self._region(name),
             "listen.front": f"{host}:{port + CALLERS}",
             "listen.ready": f"{host}:{port + READY}",
             "listen.control": f"{host}:{port + PEERS}",
@@ -173,7 +197,8 @@
             "limits.link_mbps": "1000",
             "app": f"{HOST}:{port + 3 + model}",
             "service": "pool",
-            "platform.address": f"{HOST}:{port}",
+            # Nothing listens on the last port of the row.
+            "platform.address": f"{HOST}:{port + PORTS - 1 if name in self.cut_off else port}",
             "bounds.grace_s": "8",
             "bounds.version_ms": "8000",
             "bounds.revoke_ms": "5000",
--- a/daisystack/tests/on_platform/standin.py
+++ b/daisystack/tests/on_platform/standin.py
@@ -5,6 +5,7 @@
 import base64
 import hashlib
 import json
+import os
 import sys
 
 import eventlet
@@ -26,6 +27,8 @@
 HOST = "127.0.0.1"
 MODEL = "m1"
 KEY = "key-of-the-dealers"
+# A path with this in it ends the process that runs it.
+CRASH = "/crash"
 PIECES = 8
 LAYERS = 4
 PIECE_BYTES = 32_768
@@ -134,6 +137,9 @@
         ]
 
     def _run(self, request: Request, rest: str) -> Response:
+        if CRASH in request.path:
+            # As when a process is killed: nothing is answered and nobody listens any more.
+            os._exit(1)
         self.runs.append(request.header("X-Attempt-Id"))
         seen = {"by": self.id, "tenant": request.header("X-Tenant"), "path": request.path}
         return json_response(200, seen, marks_of(self.id, request))
@@ -274,10 +280,12 @@
             route
             | {"name": "read", "prefix": "/read/", "kind": "safe", "service": "ledger"}
             | {"public": True},
+            route | {"name": "risk", "prefix": "/risk/", "kind": "safe", "service": "fragile"},
         ],
         "services": [
             {"name": "pool", "max_connections": 100, "engine": engine},
             {"name": "ledger", "max_connections": 100},
+            {"name": "fragile", "max_connections": 100},
             {"name": "portal", "origin": origin_address, "zone": "z1"},
         ],
         "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -285,8 +293,16 @@
     }
 
 
+def start_runner(port: int, name: str) -> None:
+    """Serve one plain runner alone."""
+    serve_http(Address(HOST, port), PlainRunner(name).routes())
+
+
 if __name__ == "__main__":
-    StandIn(int(sys.argv[1])).start()
+    if len(sys.argv) > 2:
+        start_runner(int(sys.argv[1]), sys.argv[2])
+    else:
+        StandIn(int(sys.argv[1])).start()
     print("stand-in listens", flush=True)
     while True:
         eventlet.sleep(3600)
--- /dev/null
+++ b/daisystack/tests/test_platform_relay.py
@@ -0,0 +1,76 @@
+"""What entries learn from each other, as separate processes: crashes, freshness, lost regions."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from daisystack.tests.on_platform.site import HOST, PlatformSite
+
+# Where a runner of its own process listens, counted from the site's first port.
+RUNNERS = (16, 17)
+# The site's bound for revoked keys, and as long again for what its processes need to notice.
+REVOKE_S = 5.0
+NOTICE_S = 3.0
+
+
+class TestRelay(unittest.TestCase):
+    def start(self, **given):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        site = PlatformSite(Path(folder.name), **given)
+        self.addCleanup(site.stop)
+        site.start()
+        return site
+
+    def publish_runners(self, site):
+        names = [site.start_runner(port) for port in RUNNERS]
+        for name, port in zip(names, RUNNERS, strict=True):
+            entry = {"service": "fragile", "address": f"{HOST}:{site.base_port + port}"}
+            entry |= {"zone": "z1", "version": "v1", "slots": 8, "state": "ready"}
+            site.publish(f"servers/{name}", entry | {"cold_left_ms": 0, "seq": 1, "born": 1})
+        for index in range(site.entries):
+            site.wait_for(lambda i=index: site.call(i, "GET", "/risk/1").status == 200)
+        return names
+
+    def test_a_request_that_crashed_upstreams_at_one_entry_is_held_at_the_other(self):
+        site = self.start()
+        names = self.publish_runners(site)
+        self.assertIn(site.call(0, "GET", "/risk/crash").status, (502, 504))
+        self.assertEqual([site.processes.running[n].is_running() for n in names], [False] * 2)
+        for port in RUNNERS:
+            site.start_runner(port)
+        site.wait_for(lambda: site.call(1, "GET", "/risk/1").status == 200)
+        held = site.call(1, "GET", "/risk/crash")
+        self.assertEqual(held.status, 502)
+        self.assertIn(b"it crashed the upstreams that ran it", held.body)
+        self.assertEqual([site.processes.running[n].is_running() for n in names], [True] * 2)
+
+    def test_an_entry_without_the_store_lives_on_what_another_one_confirms(self):
+        site = self.start(cut_off=frozenset({"entry-1"}))
+        for _ in range(5):
+            self.assertEqual(site.call(1, "POST", "/post/1").status, 200)
+        site.processes.kill("entry-0")
+        took_s = site.wait_for(lambda: site.call(1, "POST", "/post/1").status == 503)
+        self.assertLess(took_s, REVOKE_S)
+        # What needs no key is served all the same.
+        self.assertEqual(site.call(1, "GET", "/read/1").status, 200)
+        self.assertEqual(site.call(1, "POST", "/post/1", "no-such-key").status, 401)
+
+    def test_a_region_that_is_lost_leaves_the_other_one_working(self):
+        far = {"entry-1": "r2", "agent-1": "r2"}
+        site = self.start(regions=far)
+        site.publish("op/version/m1", {"model": "m1", "version": 2})
+        for name in far:
+            site.processes.kill(name)
+        for _ in range(20):
+            self.assertEqual(site.call(0, "POST", "/post/1").status, 200)
+        took_s = site.wait_for(lambda: site.live_others(0) == 0)
+        self.assertLess(took_s, NOTICE_S)
+        self.assertEqual(site.addresses(0), [site.caller_address(0)])
+        site.start_entry(1)
+        site.wait_for(lambda: site.is_ready(1) and site.live_others(0) == 1)
+        self.assertEqual(site.call(1, "POST", "/post/1").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
