--- a/daisystack/tests/test_membership.py
+++ b/daisystack/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 from daisystack.core.membership import Member, MemberRole, Membership, usable_entries
 from daisystack.core.readers import reader_patience_s
+from daisystack.core.retries import WindowedBudget
 
 
 def build_member(id="e1", zone="z1", beat=1, **changed):
@@ -54,6 +55,20 @@
         known.paused(30.0)
         self.assertEqual(len(known.live(MemberRole.ENTRY, 41.0)), 1)
 
+    def test_entries_that_are_cut_off_from_each_other_keep_the_retry_budget(self):
+        """Each goes on to share the slack with all that it heard of in the last half minute."""
+        ids = [f"e{i}" for i in range(8)]
+        sent = 0
+        for me in ids:
+            known = Membership(me)
+            for other in ids:
+                known.heard(build_member(other), 0.0, 10.0)
+            known.told(39.0)
+            entries = 1 + len(known.members(MemberRole.ENTRY))
+            budget = WindowedBudget(0.2, 104.0, 10.0)
+            sent += sum(1 for _ in range(200) if budget.take(entries, 39.0))
+        self.assertLessEqual(sent, 104)
+
     def test_agents_are_not_passed_on(self):
         known = Membership("me")
         known.heard(build_member("a1", role=MemberRole.AGENT), 0.0, 10.0)
