Move the choice of a version into core, and questions to entries into a module of their own

Change: core/version_choice decides which version is tried, asked for and left alone, with now_s as an argument and tests of its own; runtime/piece_source asks entries for lists and pieces. The agent keeps the engine.

--- /dev/null
+++ b/daisystack/runtime/piece_source.py
@@ -0,0 +1,84 @@
+"""Ask the entries what pieces of a version there are and who has them."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+
+from daisystack.core.membership import Member
+from daisystack.core.targets import WeightTarget
+from daisystack.core.weight_pieces import HolderPlan, PieceList, sorted_zones
+from daisystack.runtime.events import WeightSourceFailed
+from daisystack.runtime.logs import log_event
+from daisystack.runtime.peer_link import PeerError, mesh_link
+from daisystack.wire.gen import ttypes
+
+__all__ = ["PieceSource"]
+
+TIMEOUT_S = 4.0
+# Whether a piece is there is told with any part of it.
+PROBE_BYTES = 1
+
+_logger = logging.getLogger("daisystack.agent")
+
+
+@define(eq=False)
+class PieceSource:
+    """Know the entries as the source of pieces for one zone."""
+
+    zone: str
+    # The live entries, those of the zone first.
+    entries: Callable[[], list[Member]]
+    _asked: int = 0
+    _draw: random.Random = field(factory=random.SystemRandom)
+
+    def find_list(self, target: WeightTarget) -> PieceList | None:
+        """Return a version's pieces as the first entry that knows them tells."""
+        lists = (self._ask_list(member, target) for member in self.entries())
+        return next((pieces for pieces in lists if pieces is not None), None)
+
+    def comes(self, target: WeightTarget) -> PieceList | None:
+        """Return a version's pieces if the next entry in turn knows them and one is held."""
+        entries = self.entries()
+        if not entries:
+            return None
+        self._asked += 1
+        pieces = self._ask_list(entries[self._asked % len(entries)], target)
+        return pieces if pieces is not None and self.is_held(pieces) else None
+
+    def is_held(self, pieces: PieceList) -> bool:
+        """Say whether an entry has a piece of a version, any one, and not its list alone."""
+        index = self._draw.randrange(len(pieces.digests))
+        member = self.holder(index)
+        if member is None:
+            return False
+        link = mesh_link(member.peer_address, TIMEOUT_S)
+        try:
+            ask = ttypes.PieceAsk(pieces.model, pieces.version, index, 0, 0, PROBE_BYTES)
+            return link.call("piece", ask).held
+        except PeerError as error:
+            log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            return False
+        finally:
+            link.close()
+
+    def holder(self, index: int) -> Member | None:
+        """Return the entry that brings a piece for this zone."""
+        entries = self.entries()
+        plan = HolderPlan(self.zone, sorted_zones([(m.id, m.zone) for m in entries]))
+        holder = plan.fetcher(index)
+        return next((m for m in entries if m.id == holder), None)
+
+    def _ask_list(self, member: Member, target: WeightTarget) -> PieceList | None:
+        link = mesh_link(member.peer_address, TIMEOUT_S)
+        try:
+            digests = link.call("digests", target.model, target.version)
+            return PieceList(target.model, target.version, tuple(digests)) if digests else None
+        except (PeerError, ValueError) as error:
+            log_event(_logger, WeightSourceFailed(member.id, str(error)))
+            return None
+        finally:
+            link.close()
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import Callable
 
 import eventlet
@@ -17,13 +16,8 @@
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.roll import RollPlan, order_time_s
 from daisystack.core.targets import WeightTarget
-from daisystack.core.weight_pieces import (
-    EngineState,
-    HolderPlan,
-    PieceList,
-    is_piece,
-    sorted_zones,
-)
+from daisystack.core.version_choice import VersionChoice
+from daisystack.core.weight_pieces import EngineState, PieceList, is_piece
 from daisystack.runtime.clock import new_incarnation, now_s
 from daisystack.runtime.direct_metrics import MetricsServer, Sample
 from daisystack.runtime.engine_datagrams import EngineNewsSender
@@ -41,10 +35,10 @@
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link, serve_peers
+from daisystack.runtime.piece_source import PieceSource
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
 from daisystack.runtime.tasks import run_steps
-from daisystack.wire.gen import ttypes
 
 __all__ = ["StagedPieces", "WeightAgent"]
 
@@ -63,15 +57,6 @@
 PULL_TIMEOUT_S = 4.0
 # A piece that is asked for in vain is asked of another entry after this.
 RETRY_S = 0.1
-# How often an agent that stages an older version asks whether the newest one can be had.
-ASK_EVERY_S = 0.3
-# A piece takes under a tenth of a second on an agent's link; where none comes for so long, their
-# source is gone.
-STALL_S = 0.8
-# An origin that died is back after some seconds, and an older version is staged in some five.
-SHUN_S = 3.0
-# Whether a piece is there is told with any part of it.
-PROBE_BYTES = 1
 # An engine that took an order reports it within this time.
 ORDER_SETTLE_S = 0.3
 
@@ -101,6 +86,8 @@
     settings: WeightAgentSettings
     engine: LocalEngine
     mesh: MeshTask = field(init=False)
+    source: PieceSource = field(init=False)
+    choice: VersionChoice = field(factory=VersionChoice)
     metrics: MetricsServer = field(init=False)
     sender: EngineNewsSender = field(factory=EngineNewsSender)
     state: EngineState | None = None
@@ -111,10 +98,6 @@
     _staged_for: tuple[str, int, int] | None = None
     _is_lost: bool = False
     _pulling: _Pulling | None = None
-    _asked_s: float = float("-inf")
-    _asked: int = 0
-    _shunned_until_s: dict[int, float] = field(factory=dict)
-    _draw: random.Random = field(factory=random.SystemRandom)
 
     def __attrs_post_init__(self) -> None:
         place = self.settings.place
@@ -130,6 +113,7 @@
             region=place.region,
         )
         self.mesh = MeshTask(own, place.seeds, (), lambda mirror, changes: None)
+        self.source = PieceSource(place.zone, self._entries)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
     def start(self) -> None:
@@ -221,53 +205,17 @@
     def _find_goal(self, model: str) -> PieceList | None:
         """Return the pieces of the newest version that can be had and serves for a while yet."""
         useful = self._useful(model)
-        for version in useful:
-            if version != useful[-1] and self._is_shunned(version):
-                continue
-            pieces = self._find_list(WeightTarget(model, version))
-            if pieces is not None and (version == useful[-1] or self._is_held(pieces)):
+        for version in self.choice.candidates(useful, now_s()):
+            pieces = self.source.find_list(WeightTarget(model, version))
+            if pieces is not None and (version == useful[-1] or self.source.is_held(pieces)):
                 return pieces
         return None
 
-    def _is_shunned(self, version: int) -> bool:
-        return now_s() < self._shunned_until_s.get(version, float("-inf"))
-
-    def _find_list(self, target: WeightTarget) -> PieceList | None:
-        lists = (self._ask_list(member, target) for member in self._entries())
-        return next((pieces for pieces in lists if pieces is not None), None)
-
-    def _is_held(self, pieces: PieceList) -> bool:
-        """Say whether an entry has a piece of a version, any one, and not its list alone."""
-        index = self._draw.randrange(len(pieces.digests))
-        member = self._holder(index)
-        if member is None:
-            return False
-        link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
-        try:
-            ask = ttypes.PieceAsk(pieces.model, pieces.version, index, 0, 0, PROBE_BYTES)
-            return link.call("piece", ask).held
-        except PeerError as error:
-            log_event(_logger, WeightSourceFailed(member.id, str(error)))
-            return False
-        finally:
-            link.close()
-
     def _useful(self, model: str) -> list[int]:
         serving = self.state.version if self.state else 0
         bound_s = self.settings.version_bound_s
         return self.mesh.targets.useful(model, serving, bound_s, now_s())
 
-    def _ask_list(self, member: Member, target: WeightTarget) -> PieceList | None:
-        link = mesh_link(member.peer_address, PULL_TIMEOUT_S)
-        try:
-            digests = link.call("digests", target.model, target.version)
-            return PieceList(target.model, target.version, tuple(digests)) if digests else None
-        except (PeerError, ValueError) as error:
-            log_event(_logger, WeightSourceFailed(member.id, str(error)))
-            return None
-        finally:
-            link.close()
-
     def _entries(self) -> list[Member]:
         """Return the live entries, those of the own zone first."""
         entries = self.mesh.live_entries(now_s())
@@ -331,33 +279,16 @@
         useful = self._useful(pieces.model)
         if pieces.version not in useful:
             return False
-        newest = useful[0]
-        if newest == pieces.version:
-            return len(useful) == 1 or not self._is_stalled(pieces.version)
-        return not self._can_be_had(WeightTarget(pieces.model, newest))
-
-    def _is_stalled(self, version: int) -> bool:
-        """Say whether pieces have stopped coming; the version is left alone for a while then."""
-        pulling = self._pulling
-        at_s = now_s()
-        if pulling is None or at_s - pulling.last_s <= STALL_S:
-            return False
-        self._shunned_until_s = {version: at_s + SHUN_S}
-        return True
-
-    def _can_be_had(self, target: WeightTarget) -> bool:
-        """Ask one entry after the other, now and then, whether a version's pieces come."""
-        at_s = now_s()
-        entries = self._entries()
-        if at_s - self._asked_s < ASK_EVERY_S or not entries or self._is_shunned(target.version):
-            return False
-        self._asked_s = at_s
-        self._asked += 1
-        pieces = self._ask_list(entries[self._asked % len(entries)], target)
-        return pieces is not None and self._is_held(pieces)
+        newest, at_s = useful[0], now_s()
+        if newest != pieces.version:
+            may_ask = self.choice.may_ask(newest, at_s)
+            return not may_ask or self.source.comes(WeightTarget(pieces.model, newest)) is None
+        if len(useful) == 1 or self._pulling is None:
+            return True
+        return not self.choice.is_stalled(newest, self._pulling.last_s, at_s)
 
     def _pull(self, pieces: PieceList, index: int, links: dict[str, PeerLink]) -> bool:
-        member = self._holder(index)
+        member = self.source.holder(index)
         if member is None:
             return False
         link = links.setdefault(member.id, mesh_link(member.peer_address, PULL_TIMEOUT_S))
@@ -393,13 +324,6 @@
         rate = self.settings.link_bytes_per_s
         return pull_piece_in_slices(link, pieces.model, pieces.version, index, PULL_WAIT_S, rate)
 
-    def _holder(self, index: int) -> Member | None:
-        entries = self._entries()
-        place = self.settings.place
-        plan = HolderPlan(place.zone, sorted_zones([(m.id, m.zone) for m in entries]))
-        holder = plan.fetcher(index)
-        return next((m for m in entries if m.id == holder), None)
-
     def _order_in_turn(self, pieces: PieceList) -> None:
         state = self.state
         at_s = now_s()
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -8,6 +8,7 @@
 from daisystack.core.stopping import StopTimes
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.core.traffic import RequestKind, Share, TrafficPolicy
+from daisystack.core.version_choice import VersionChoice
 from daisystack.core.weight_pieces import (
     HolderPlan,
     PieceCache,
@@ -62,6 +63,26 @@
             self.assertEqual(route.is_repeatable, expected)
 
 
+class TestVersionChoice(unittest.TestCase):
+    def test_a_version_whose_pieces_stop_coming_is_left_alone_for_a_while(self):
+        choice = VersionChoice()
+        self.assertFalse(choice.is_stalled(3, last_piece_s=10.0, now_s=10.75))
+        self.assertTrue(choice.is_stalled(3, last_piece_s=10.0, now_s=10.875))
+        for now_s, expected in [(11.0, [2]), (13.75, [2]), (14.0, [3, 2])]:
+            with self.subTest(now_s=now_s):
+                self.assertEqual(choice.candidates([3, 2], now_s), expected)
+        self.assertEqual(choice.candidates([3], 11.0), [3])
+        self.assertEqual(choice.candidates([], 11.0), [])
+
+    def test_a_newer_version_is_asked_for_now_and_then(self):
+        choice = VersionChoice()
+        asked = [choice.may_ask(3, 10.0 + 0.125 * step) for step in range(8)]
+        self.assertEqual(asked, [True, False, False, True, False, False, True, False])
+        choice.is_stalled(3, 0.0, 11.0)
+        self.assertFalse(choice.may_ask(3, 12.0))
+        self.assertTrue(choice.may_ask(3, 14.5))
+
+
 class TestTargets(unittest.TestCase):
     def test_a_target_never_goes_back(self):
         targets = Targets()
