Switch to a newer version at its first piece, and finish an older one that is nearly half staged

Its two versions become known 0.9 s apart after an outage of the store. Agents asked whether a piece of the newer one was there, any one; pieces are brought in order within 2.7 s, so they went on with the older one for a second and more and staged the newer one at 33.5 instead of 32.5, just before the old version's end.

Change: the first piece is asked for, while less than 0.4 of the older version is staged; from then on the older one is finished and loaded.

--- a/daisystack/core/version_choice.py
+++ b/daisystack/core/version_choice.py
@@ -13,6 +13,9 @@
 STALL_S = 0.8
 # An origin that died is back after some seconds, and an older version is staged in some five.
 LEFT_ALONE_S = 3.0
+# With so much of an older version staged, finishing it costs less than dropping it for a newer one
+# that may still stop coming; the newer one is staged by the end of its time all the same.
+FINISHED_SHARE = 0.4
 
 
 @define
@@ -27,8 +30,10 @@
         last = useful[-1:]
         return [v for v in useful[:-1] if not self.is_left_alone(v, now_s)] + last
 
-    def may_ask(self, version: int, now_s: float) -> bool:
-        """Say whether to ask now for a newer version than the one that is staged."""
+    def may_ask(self, version: int, staged_share: float, now_s: float) -> bool:
+        """Say whether to ask now for a newer version than the one that is being staged."""
+        if staged_share >= FINISHED_SHARE:
+            return False
         if now_s - self._asked_s < ASK_EVERY_S or self.is_left_alone(version, now_s):
             return False
         self._asked_s = now_s
--- a/daisystack/runtime/piece_source.py
+++ b/daisystack/runtime/piece_source.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define
 
 from daisystack.core.membership import Member
 from daisystack.core.targets import WeightTarget
@@ -21,6 +20,8 @@
 TIMEOUT_S = 4.0
 # Whether a piece is there is told with any part of it.
 PROBE_BYTES = 1
+# Pieces are brought in order.
+FIRST_PIECE = 0
 
 _logger = logging.getLogger("daisystack.agent")
 
@@ -33,7 +34,6 @@
     # The live entries, those of the zone first.
     entries: Callable[[], list[Member]]
     _asked: int = 0
-    _draw: random.Random = field(factory=random.SystemRandom)
 
     def find_list(self, target: WeightTarget) -> PieceList | None:
         """Return a version's pieces as the first entry that knows them tells."""
@@ -41,7 +41,7 @@
         return next((pieces for pieces in lists if pieces is not None), None)
 
     def comes(self, target: WeightTarget) -> PieceList | None:
-        """Return a version's pieces if the next entry in turn knows them and one is held."""
+        """Return a version's pieces if the next entry in turn knows them and has the first."""
         entries = self.entries()
         if not entries:
             return None
@@ -50,14 +50,14 @@
         return pieces if pieces is not None and self.is_held(pieces) else None
 
     def is_held(self, pieces: PieceList) -> bool:
-        """Say whether an entry has a piece of a version, any one, and not its list alone."""
-        index = self._draw.randrange(len(pieces.digests))
-        member = self.holder(index)
+        """Say whether an entry has a version's first piece, and not its list alone."""
+        member = self.holder(FIRST_PIECE)
         if member is None:
             return False
         link = mesh_link(member.peer_address, TIMEOUT_S)
         try:
-            ask = ttypes.PieceAsk(pieces.model, pieces.version, index, 0, 0, PROBE_BYTES)
+            model, version = pieces.model, pieces.version
+            ask = ttypes.PieceAsk(model, version, FIRST_PIECE, 0, 0, PROBE_BYTES)
             return link.call("piece", ask).held
         except PeerError as error:
             log_event(_logger, WeightSourceFailed(member.id, str(error)))
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -281,12 +281,18 @@
             return False
         newest, at_s = useful[0], now_s()
         if newest != pieces.version:
-            may_ask = self.choice.may_ask(newest, at_s)
+            may_ask = self.choice.may_ask(newest, self._staged_share(pieces), at_s)
             return not may_ask or self.source.comes(WeightTarget(pieces.model, newest)) is None
         if len(useful) == 1 or self._pulling is None:
             return True
         return not self.choice.is_stalled(newest, self._pulling.last_s, at_s)
 
+    def _staged_share(self, pieces: PieceList) -> float:
+        if self._pulling is not None:
+            return 1.0 - (self._pulling.wanted - self._pulling.done) / len(pieces.digests)
+        is_staged = self._staged_for is not None and self._staged_for[1] == pieces.version
+        return 1.0 if is_staged else 0.0
+
     def _pull(self, pieces: PieceList, index: int, links: dict[str, PeerLink]) -> bool:
         member = self.source.holder(index)
         if member is None:
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -76,11 +76,16 @@
 
     def test_a_newer_version_is_asked_for_now_and_then(self):
         choice = VersionChoice()
-        asked = [choice.may_ask(3, 10.0 + 0.125 * step) for step in range(8)]
+        asked = [choice.may_ask(3, 0.25, 10.0 + 0.125 * step) for step in range(8)]
         self.assertEqual(asked, [True, False, False, True, False, False, True, False])
         choice.is_stalled(3, 0.0, 11.0)
-        self.assertFalse(choice.may_ask(3, 12.0))
-        self.assertTrue(choice.may_ask(3, 14.5))
+        self.assertFalse(choice.may_ask(3, 0.25, 12.0))
+        self.assertTrue(choice.may_ask(3, 0.25, 14.5))
+
+    def test_an_older_version_that_is_nearly_half_staged_is_finished(self):
+        """Two versions two seconds apart: the second may stop coming, as when the origin dies."""
+        self.assertFalse(VersionChoice().may_ask(3, 0.5, 10.0))
+        self.assertTrue(VersionChoice().may_ask(3, 0.2, 10.0))
 
 
 class TestTargets(unittest.TestCase):
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -292,6 +292,15 @@
         self.assert_whole(site.engine, 3)
         self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
 
+    def test_a_version_comes_as_soon_as_its_first_piece_is_there(self):
+        """Pieces are brought in order, so who asked for a later one would wait for most of them."""
+        site = self.build_bumped(6.0, knows_list=True)
+        site.origin.is_away = False
+        site.pieces.piece("m", 3, 0, 1.0)
+        site.origin.is_away = True
+        for _ in range(20):
+            self.assertIsNotNone(site.agent.source.comes(WeightTarget("m", 3)))
+
     def test_a_version_that_soon_ends_is_not_loaded(self):
         site = self.build_bumped(ends_in_s=1.0)
         site.step(5)
