--- a/daisystack/tests/test_standstill.py
+++ b/daisystack/tests/test_standstill.py
@@ -15,7 +15,7 @@
     build_route,
     build_upstream,
 )
-from daisystack.testing.scripted import ScriptedServer, read_request
+from daisystack.testing.scripted import ScriptedServer, answer, cut, read_request
 from daisystack.tests.test_placement import build_engine, build_news, build_pool
 
 HEAD = (
@@ -122,6 +122,11 @@
         self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
         self.assertIn(b"last-event-id: 1\r\n", self.seen[0])
 
+    def test_a_refusal_elsewhere_does_not_make_it_not_run(self):
+        """The still engine may run what it has, whatever the second one says of its own part."""
+        shed = cut(answer(b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\n"))
+        self.assertIn(self.serve(stop_after(), shed).status, (502, 504))
+
     def test_what_may_not_run_twice_stays_until_its_time_is_over(self):
         responder = self.serve(stop_after(1), self.finish_with(1, 2), is_resumable=False)
         self.assertEqual((responder.body, responder.is_done), (event(1), False))
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -264,18 +264,21 @@
         site.want(3, now_s() - BOUND_S + ends_in_s)
         return site
 
+    def assert_second_then_third(self, site):
+        with eventlet.Timeout(10):
+            while site.engine.version != 2:
+                site.step()
+        site.origin.is_away = False
+        site.run()
+        self.assert_whole(site.engine, 3)
+        self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
+
     def test_a_version_that_can_be_had_serves_until_the_next_one_comes(self):
         """Two versions named a moment apart, and the origin dies before the second is brought."""
         for knows_list in (False, True):
             with self.subTest(knows_list=knows_list):
                 site = self.build_bumped(6.0, knows_list)
-                with eventlet.Timeout(10):
-                    while site.engine.version != 2:
-                        site.step()
-                site.origin.is_away = False
-                site.run()
-                self.assert_whole(site.engine, 3)
-                self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
+                self.assert_second_then_third(site)
 
     def test_an_origin_that_dies_while_it_hands_out_a_version_holds_nobody_up(self):
         """Its first pieces have come, so that the version looks as if it could be had."""
@@ -284,13 +287,7 @@
         for index in range(2):
             site.pieces.piece("m", 3, index, 1.0)
         site.origin.is_away = True
-        with eventlet.Timeout(10):
-            while site.engine.version != 2:
-                site.step()
-        site.origin.is_away = False
-        site.run()
-        self.assert_whole(site.engine, 3)
-        self.assertEqual([version for version, _ in site.engine.loaded], [2, 3])
+        self.assert_second_then_third(site)
 
     def test_a_version_comes_as_soon_as_its_first_piece_is_there(self):
         """Pieces are brought in order, so who asked for a later one would wait for most of them."""
