--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -33,6 +33,8 @@
     address_lifetime_s: float
     # Time between the stop signal and the forced end of the process.
     stop_grace_s: float
+    # A configuration or a draining upstream must be in force within this time.
+    publication_bound_s: float
     # A revoked API key must be refused within this time.
     revoke_bound_s: float
     # Requests may start on a version for this long after the next version is published.
--- a/daisystack/core/membership.py
+++ b/daisystack/core/membership.py
@@ -3,15 +3,37 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+import hashlib
+from collections.abc import Collection, Iterable
 
 from attrs import define, field, frozen
 
-__all__ = ["Member", "MemberRole", "Membership", "usable_entries"]
+from daisystack.core.rendezvous import hash_to_unit_interval, rank_members
+
+__all__ = [
+    "Heartbeat",
+    "Member",
+    "MemberRole",
+    "Membership",
+    "rank_contacts",
+    "state_digest",
+    "usable_entries",
+]
 
 # Three heartbeats lost in a row, at the longest interval between two of them.
 SUSPECT_AFTER_S = 1.6
+# A heartbeat takes up to three gossip rounds through a zone of more than MAX_DIRECT_PEERS entries,
+# and as many again from another zone.
+SUSPECT_AFTER_LARGE_ZONE_S = 2.0
+SUSPECT_AFTER_REMOTE_S = 3.2
+# In a zone with at most this many other entries, each hears from each other one every round or two.
+MAX_DIRECT_PEERS = 4
 FORGET_AFTER_S = 30.0
+# Entries of a zone that are made known to other zones: enough for callers and for transfers when a
+# few of them are lost.
+CONTACTS_PER_ZONE = 6
+CONTACT_DUTY = "contact"
+DIGEST_BYTES = 8
 
 
 class MemberRole(enum.Enum):
@@ -39,9 +61,34 @@
     beat: int = 0
 
 
+@frozen
+class Heartbeat:
+    """Sign of life of the member whose state has a digest, sent age_s ago."""
+
+    digest: int
+    beat: int
+    age_s: float
+
+
+@frozen
+class _ZoneSize:
+    entries: int
+    counted_s: float
+
+
+@frozen
+class _SuspicionTimes:
+    own_zone_s: float
+    other_zones_s: float
+
+
 @define
 class _MemberRecord:
     member: Member
+    beat: int
+    digest: int
+    # Orders the entries of a zone as its contacts for other zones.
+    contact_rank: float
     last_heartbeat_s: float
     # The latest request from this process went unanswered, whatever its peers report.
     is_unreachable: bool = False
@@ -49,10 +96,16 @@
 
 @define
 class Membership:
-    """Keep the latest update of each process and the time at which it was sent."""
+    """Keep the latest update of each process and the time at which it was sent.
+
+    All entries of the own zone are known, and CONTACTS_PER_ZONE or a few more of each other zone.
+    """
 
     own_id: str
+    own_zone: str = ""
     _records: dict[str, _MemberRecord] = field(factory=dict)
+    _ids_by_digest: dict[int, str] = field(factory=dict)
+    _zone_sizes: dict[str, _ZoneSize] = field(factory=dict)
 
     def apply_update(self, member: Member, age_s: float, now_s: float) -> None:
         """Apply an update, received directly or through a peer; ignore it unless it is newer.
@@ -67,7 +120,24 @@
             return
         is_same_incarnation = record is not None and record.member.incarnation == member.incarnation
         is_unreachable = is_same_incarnation and record.is_unreachable
-        self._records[member.id] = _MemberRecord(member, sent_s, is_unreachable)
+        if record is not None:
+            self._ids_by_digest.pop(record.digest, None)
+        digest = state_digest(member)
+        contact_rank = hash_to_unit_interval(CONTACT_DUTY, member.id)
+        self._ids_by_digest[digest] = member.id
+        self._records[member.id] = _MemberRecord(
+            member, member.beat, digest, contact_rank, sent_s, is_unreachable
+        )
+
+    def apply_heartbeats(self, heartbeats: Iterable[Heartbeat], now_s: float) -> None:
+        """Apply heartbeats of members that are known here in the same state."""
+        for heartbeat in heartbeats:
+            record = self._records.get(self._ids_by_digest.get(heartbeat.digest, ""))
+            if record is None:
+                continue
+            if heartbeat.beat > record.beat:
+                record.beat = heartbeat.beat
+                record.last_heartbeat_s = now_s - heartbeat.age_s
 
     def mark_unreachable(self, member_id: str) -> None:
         """Record that a process did not answer a request."""
@@ -90,34 +160,128 @@
 
     def live(self, role: MemberRole, now_s: float) -> list[Member]:
         """Return the processes of a role that are neither suspected nor unreachable."""
+        times = self._suspicion_times()
         return [
-            record.member
-            for record in self._records.values()
-            if record.member.role is role
-            and now_s - record.last_heartbeat_s <= SUSPECT_AFTER_S
-            and not record.is_unreachable
+            r.member
+            for r in self._records.values()
+            if r.member.role is role and self._is_live(r, times, now_s)
         ]
 
-    def entries_to_gossip(self, now_s: float) -> list[tuple[Member, float]]:
-        """Return each entry with the age of its update, and forget processes that timed out.
+    def zone_ranking(self, duty: str, now_s: float) -> list[str]:
+        """Rank this entry and the live ones of its zone for a duty that only a few perform."""
+        live = self.live(MemberRole.ENTRY, now_s)
+        in_zone = [member.id for member in live if member.zone == self.own_zone]
+        return rank_members(f"{duty}/{self.own_zone}", [self.own_id, *in_zone])
+
+    def gossip_scope(self, peer_zone: str, now_s: float) -> list[tuple[Member, Heartbeat]]:
+        """Return the entries that a peer of a zone should know, each with its heartbeat.
 
-        Agents are not gossiped: no process calls them, and there are many.
+        A peer of the own zone gets all of the zone and the contacts of other zones; any other
+        peer gets the contacts of each zone. Agents are left out: no process calls them.
         """
-        for member_id in [
-            k for k, v in self._records.items() if now_s - v.last_heartbeat_s > FORGET_AFTER_S
-        ]:
-            del self._records[member_id]
-        return [
-            (record.member, now_s - record.last_heartbeat_s)
-            for record in self._records.values()
-            if record.member.role is MemberRole.ENTRY
-        ]
+        self._forget_lost(now_s)
+        scope = []
+        for zone, records in self._records_by_zone().items():
+            if zone != self.own_zone or peer_zone != self.own_zone:
+                records = self._contacts(records, now_s)
+            scope += [
+                (r.member, Heartbeat(r.digest, r.beat, now_s - r.last_heartbeat_s)) for r in records
+            ]
+        return scope
+
+    def zone_sizes(self, now_s: float) -> dict[str, tuple[int, float]]:
+        """Return the number of entries of each zone and the age of that count in seconds."""
+        sizes = {
+            zone: (size.entries, now_s - size.counted_s)
+            for zone, size in self._zone_sizes.items()
+            if now_s - size.counted_s <= FORGET_AFTER_S
+        }
+        return sizes | {self.own_zone: (1 + self._count_own_zone(), 0.0)}
+
+    def apply_zone_size(self, zone: str, entries: int, age_s: float, now_s: float) -> None:
+        """Record the size of another zone unless a more recent count is known."""
+        known = self._zone_sizes.get(zone)
+        counted_s = now_s - age_s
+        if zone != self.own_zone and (known is None or counted_s > known.counted_s):
+            self._zone_sizes[zone] = _ZoneSize(entries, counted_s)
+
+    def entry_count(self, now_s: float) -> int:
+        """Return the number of entries in all zones, this one included."""
+        known = {zone: len(records) for zone, records in self._records_by_zone().items()}
+        known[self.own_zone] = 1 + known.get(self.own_zone, 0)
+        sizes = self.zone_sizes(now_s)
+        return sum(
+            max(sizes[zone][0] if zone in sizes else 0, known.get(zone, 0))
+            for zone in {*sizes, *known}
+        )
+
+    def _is_live(self, record: _MemberRecord, times: _SuspicionTimes, now_s: float) -> bool:
+        is_own_zone = record.member.zone == self.own_zone
+        suspect_after_s = times.own_zone_s if is_own_zone else times.other_zones_s
+        return not record.is_unreachable and now_s - record.last_heartbeat_s <= suspect_after_s
+
+    def _suspicion_times(self) -> _SuspicionTimes:
+        if self._count_own_zone() <= MAX_DIRECT_PEERS:
+            return _SuspicionTimes(SUSPECT_AFTER_S, SUSPECT_AFTER_S)
+        return _SuspicionTimes(SUSPECT_AFTER_LARGE_ZONE_S, SUSPECT_AFTER_REMOTE_S)
+
+    def _count_own_zone(self) -> int:
+        """Return the number of other entries in the own zone."""
+        return sum(
+            1
+            for r in self._records.values()
+            if r.member.zone == self.own_zone and r.member.role is MemberRole.ENTRY
+        )
+
+    def _records_by_zone(self) -> dict[str, list[_MemberRecord]]:
+        by_zone: dict[str, list[_MemberRecord]] = {}
+        for record in self._records.values():
+            if record.member.role is MemberRole.ENTRY:
+                by_zone.setdefault(record.member.zone, []).append(record)
+        return by_zone
+
+    def _contacts(self, records: Collection[_MemberRecord], now_s: float) -> list[_MemberRecord]:
+        """Return the first records of a zone by rank, live ones before others."""
+        times = self._suspicion_times()
+
+        def preference(record: _MemberRecord) -> tuple[bool, float]:
+            return (not self._is_live(record, times, now_s), record.contact_rank)
+
+        return sorted(records, key=preference)[:CONTACTS_PER_ZONE]
+
+    def _forget_lost(self, now_s: float) -> None:
+        lost = [k for k, r in self._records.items() if now_s - r.last_heartbeat_s > FORGET_AFTER_S]
+        for member_id in lost:
+            self._ids_by_digest.pop(self._records.pop(member_id).digest, None)
+
+
+def state_digest(member: Member) -> int:
+    """Return a hash of all that a member reports except its beat."""
+    parts = (
+        member.id,
+        member.incarnation,
+        member.role.value,
+        member.peer_address,
+        member.caller_address,
+        member.news_address,
+        member.zone,
+        member.region,
+        str(member.is_ready),
+        str(member.is_leaving),
+    )
+    joined = "\x00".join(parts).encode()
+    return int.from_bytes(hashlib.blake2b(joined, digest_size=DIGEST_BYTES).digest(), "big")
 
 
 def _is_newer(member: Member, record: _MemberRecord, sent_s: float) -> bool:
     if member.incarnation != record.member.incarnation:
         return sent_s > record.last_heartbeat_s
-    return member.beat > record.member.beat
+    return member.beat > record.beat
+
+
+def rank_contacts(member_ids: Iterable[str]) -> list[str]:
+    """Sort entries in the order in which other zones prefer them as contacts."""
+    return rank_members(CONTACT_DUTY, member_ids)
 
 
 def usable_entries(
--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -10,6 +10,7 @@
 from daisystack.core.rendezvous import rank_members
 
 __all__ = [
+    "BASE_BOUND_S",
     "agent_neighbors",
     "entry_neighbors",
     "max_mirror_age_s",
@@ -25,8 +26,11 @@
 STALE_AFTER_S = 6.0
 STALE_RANK_STEP_S = 0.5
 MAX_STALE_RANK = 40
-# Half of the two seconds within which a configuration must be in force, less one gossip round.
+# Half of the shortest bound for publications, less one gossip round.
 FIRST_READER_MAX_AGE_S = 0.7
+# The ages and steps below are for this bound and scale with longer ones, up to MAX_BOUND_SCALE.
+BASE_BOUND_S = 2.0
+MAX_BOUND_SCALE = 2.0
 # A read over a region link takes about 30 ms longer than a nearby one, mostly transfer time.
 READ_LATENCY_FACTOR = 15.0
 MAX_READ_LATENCY_DELAY_S = 0.6
@@ -65,19 +69,21 @@
     return service_age_s > max_age_s
 
 
-def max_mirror_age_s(rank: int, read_latency_s: float) -> float:
+def max_mirror_age_s(
+    rank: int, read_latency_s: float, publication_bound_s: float = BASE_BOUND_S
+) -> float:
     """Return how old a mirror may become before this process reads the store itself.
 
+    publication_bound_s is the time within which a publication must be in force.
+
     rank is the rank of this process among the readers of its zone. read_latency_s is how long its
     reads take; a longer latency gives a higher age, so that the zone nearest to the store reads
     for the others.
     """
+    scale = min(MAX_BOUND_SCALE, publication_bound_s / BASE_BOUND_S)
     rank_delay_s = READER_RANK_STEP_S * min(rank, MAX_READER_RANK_STEPS)
-    return (
-        FIRST_READER_MAX_AGE_S
-        + rank_delay_s
-        + min(MAX_READ_LATENCY_DELAY_S, READ_LATENCY_FACTOR * read_latency_s)
-    )
+    latency_delay_s = min(MAX_READ_LATENCY_DELAY_S, READ_LATENCY_FACTOR * read_latency_s)
+    return scale * (FIRST_READER_MAX_AGE_S + rank_delay_s) + latency_delay_s
 
 
 def agent_neighbors(document: SiteDocument, own_id: str) -> list[str]:
--- a/daisystack/core/weight_pieces.py
+++ b/daisystack/core/weight_pieces.py
@@ -8,16 +8,21 @@
 from attrs import define, field, frozen
 
 from daisystack.core.manifests import digest_bytes
+from daisystack.core.membership import rank_contacts
 
 __all__ = [
     "EngineState",
     "HolderPlan",
+    "MAX_ORIGIN_CONNECTIONS",
     "PieceCache",
     "PieceList",
     "piece_matches",
     "members_by_zone",
 ]
 
+# Connections that one gateway opens to the origin: one for lists, the others for pieces.
+MAX_ORIGIN_CONNECTIONS = 4
+
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 
 
@@ -61,21 +66,46 @@
 class HolderPlan:
     """Assignment of pieces to entries: each zone holds one copy, and the origin sends only one.
 
-    zones maps an availability zone to its entries in an order that all processes agree on.
+    zones maps an availability zone to its entries in an order that all processes agree on. Only
+    the gateways of a zone connect to the origin, so that all entries together stay within its
+    max_connections; 0 means no limit.
     """
 
     origin_zone: str
     zones: dict[str, tuple[str, ...]]
+    max_connections: int = 0
 
     def holder(self, zone: str, index: int) -> str | None:
         """Return the entry of a zone that holds a piece, or None when the zone has no entries."""
         entries = self.zones.get(zone, ())
         return entries[index % len(entries)] if entries else None
 
+    def nearest_holder(self, zone: str, index: int) -> str | None:
+        """Return the entry that holds a piece for a zone, in another zone if it has no entries."""
+        nearest = [zone, *sorted(self.zones)]
+        return next((h for z in nearest if (h := self.holder(z, index)) is not None), None)
+
     def fetcher(self, index: int) -> str | None:
         """Return the entry that pulls a piece from the origin, preferably in the origin's zone."""
-        first = [self.origin_zone, *sorted(self.zones)]
-        return next((h for zone in first if (h := self.holder(zone, index)) is not None), None)
+        for zone in (self.origin_zone, *sorted(self.zones)):
+            gateways = self.gateways(zone)
+            if gateways:
+                return gateways[index % len(gateways)]
+        return None
+
+    def gateways(self, zone: str) -> tuple[str, ...]:
+        """Return the entries of a zone that may connect to the origin."""
+        entries = self.zones.get(zone, ())
+        count = self._gateway_count(zone)
+        return entries if len(entries) <= count else tuple(rank_contacts(entries)[:count])
+
+    def _gateway_count(self, zone: str) -> int:
+        if not self.max_connections:
+            return len(self.zones.get(zone, ()))
+        # Half of the connections for the origin's zone, the rest for the others to fall back on.
+        half = self.max_connections // (2 * MAX_ORIGIN_CONNECTIONS)
+        share = half if zone == self.origin_zone else half // max(1, len(self.zones) - 1)
+        return max(1, share)
 
     def pieces_held_by(self, own_id: str, zone: str, count: int) -> list[int]:
         """Return the pieces that an entry holds for its zone."""
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -17,14 +17,13 @@
 from daisystack.core.membership import Member, MemberRole, usable_entries
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
-from daisystack.core.rendezvous import rank_members
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import CallerLimits
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
 from daisystack.runtime.direct_metrics import EntryMetrics, MetricsServer, Sample
 from daisystack.runtime.direct_requests import DirectRequests, DirectRequestSettings
-from daisystack.runtime.engine_datagrams import receive_engine_status
+from daisystack.runtime.engine_datagrams import EngineRelay
 from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
@@ -44,6 +43,7 @@
 # Entries ranked lower use this rank too, so that every entry reads the store once its mirrors are
 # as old as the third reader's may be.
 MAX_READER_RANK = 2
+READER_DUTY = "reader"
 # Keys must be confirmed this much earlier than the revocation bound, to allow for the time
 # that a request is in flight.
 KEY_AGE_MARGIN_S = 0.6
@@ -104,6 +104,7 @@
             self.published.targets,
             lambda member_id: self.mesh.membership.mark_unreachable(member_id),
             self._serving_agents,
+            self._origin_connections,
         )
         # Pieces are pulled as soon as the store or a peer reports a new version.
         self.published.on_target.append(self.pieces.start_share_pull)
@@ -118,7 +119,13 @@
         self.requests.on_request_ended = entry_metrics.record_request
         self.requests.on_attempt_ended = entry_metrics.record_attempt
         self.mirror_tasks = [
-            MirrorTask(mirror, self.store, self._reader_rank, self.apply_changes)
+            MirrorTask(
+                mirror,
+                self.store,
+                self._reader_rank,
+                self.apply_changes,
+                self.settings.publication_bound_s,
+            )
             for mirror in self.mirrors.values()
         ]
 
@@ -137,7 +144,8 @@
     def start(self) -> None:
         """Start listening and the tasks; raise OSError if an address can't be bound."""
         serve_peers(parse_address(self.settings.peer_address), MeshHandler(self.mesh, self.pieces))
-        receive_engine_status(parse_address(self.settings.news_address), self.placement.engines)
+        relay = EngineRelay(self.placement.engines, self.mesh)
+        relay.start(parse_address(self.settings.news_address))
         for task in self.mirror_tasks:
             task.start()
         self.mirror_tasks[0].start_watch()
@@ -172,6 +180,11 @@
             self._origins[address] = self.create_origin(address)
         return self._origins[address], origins[0].zone
 
+    def _origin_connections(self) -> int:
+        policy = self.published.policy
+        origins = policy.origins() if policy else []
+        return origins[0].max_connections if origins else 0
+
     def addresses_for(self, zone: str) -> list[str]:
         """Return the addresses that callers of a zone should use."""
         entries = self.mesh.live_entries(now_s())
@@ -251,14 +264,11 @@
         )
 
     def _count_entries(self) -> int:
-        return 1 + len(self.mesh.membership.members(MemberRole.ENTRY))
+        return self.mesh.membership.entry_count(now_s())
 
     def _reader_rank(self) -> int:
         """Return this entry's rank among the zone's live entries, at most MAX_READER_RANK."""
-        identity = self.settings.identity
-        in_zone = [m.id for m in self.mesh.live_entries(now_s()) if m.zone == identity.zone]
-        ranked = rank_members(f"reader/{identity.zone}", [identity.id, *in_zone])
-        return min(MAX_READER_RANK, ranked.index(identity.id))
+        return min(MAX_READER_RANK, self.mesh.rank_in_zone(READER_DUTY, now_s()))
 
     def _gauge_samples(self) -> list[Sample]:
         at_s = now_s()
--- a/daisystack/runtime/mesh_handler.py
+++ b/daisystack/runtime/mesh_handler.py
@@ -26,7 +26,7 @@
 
     def gossip(self, mine: ttypes.MeshNews) -> ttypes.MeshNews:
         """Apply a peer's news and return the local news from before it was applied."""
-        answer = self.mesh_task.build_news(now_s())
+        answer = self.mesh_task.build_answer(mine, now_s())
         self.mesh_task.apply_news(mine, None)
         return answer
 
@@ -37,9 +37,9 @@
                 return mesh.delta_to_wire(mirror.delta_after(after_revision, now_s()))
         return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [])
 
-    def digests(self, model: str, version: int) -> list[str]:
-        """Return the digests of the pieces of a version."""
-        return self.pieces.digests(model, version)
+    def digests(self, model: str, version: int, wait_ms: int) -> list[str]:
+        """Return the digests of the pieces of a version; wait for them at most MAX_WAIT_S."""
+        return self.pieces.digests(model, version, min(MAX_WAIT_S, wait_ms / MS_PER_S))
 
     def piece(self, ask: ttypes.PieceAsk) -> ttypes.Piece:
         """Return a range of a piece; wait for it as long as requested, at most MAX_WAIT_S."""
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from daisystack.core.engine_status import EngineStatusTable
-from daisystack.core.membership import Member, MemberRole, Membership
+from daisystack.core.membership import Heartbeat, Member, MemberRole, Membership
 from daisystack.core.mirror import Mirror
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.runtime.clock import now_s
@@ -26,17 +26,20 @@
 
 # Three rounds fit into the time after which an unresponsive process is suspected.
 ROUND_INTERVAL_S = 0.4
-# News must reach a zone of a dozen entries in about two rounds.
-IN_ZONE_FANOUT = 3
-CROSS_ZONE_FANOUT = 1
-# Traffic between zones is expensive; at this rate a zone of three entries still receives news of
-# another zone every half second.
-ROUNDS_PER_CROSS_ZONE_EXCHANGE = 2
+# Each entry hears from twice as many peers a round, as it is also contacted by others.
+IN_ZONE_FANOUT = 2
+# Entries of a zone that exchange news with other zones; the second covers for a failed first one.
+RELAYS_PER_ZONE = 2
+# A burst of changes, as when all engines load a version, is passed on in batches.
+MIN_PUSH_INTERVAL_S = 0.1
 # A peer that does not answer within this time is tried again in a later round.
 PEER_TIMEOUT_S = 0.7
 # A longer gap between two checks means that this process was paused, not that its peers were
 # unresponsive.
 MIN_PAUSE_S = 1.2
+RELAY_DUTY = "relay"
+# A seed's zone is not known before it answers.
+UNKNOWN_ZONE = ""
 MS_PER_S = 1000
 
 _logger = logging.getLogger("daisystack.mesh")
@@ -46,8 +49,10 @@
 class MeshTask:
     """Manage the links to other processes, their known state, and the exchange of news.
 
-    News is the gossip message: what a process knows of members, mirrors, engines and targets, and
-    its counts of requests and crashes.
+    News is the gossip message: heartbeats of the members that a process knows, the members that
+    its peer lacks, the state of its mirrors and targets, and its counts of requests and crashes.
+    Each process exchanges news with a few peers of its zone, and two relays a zone with other
+    zones, so that neither the messages nor their size grow with the number of zones.
     """
 
     own: Member
@@ -72,9 +77,13 @@
     _reachable: dict[str, bool] = field(factory=dict)
     _pause_checked_s: float = field(factory=now_s)
     _rounds: int = 0
+    _pushed_s: float = float("-inf")
+    _is_push_due: bool = False
+    # Revision of each mirror that is being pulled from a peer, by prefix.
+    _pulled_revisions: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.membership = Membership(self.own.id)
+        self.membership = Membership(self.own.id, self.own.zone)
 
     def start(self) -> None:
         """Start the gossip rounds."""
@@ -87,38 +96,83 @@
         if changed:
             self.exchange_news()
 
-    def exchange_news(self, is_urgent: bool = True) -> None:
-        """Exchange news with some peers now; if urgent, also with an entry of each other zone."""
-        self.own = attrs.evolve(self.own, beat=self.own.beat + 1)
-        self._rounds += 1
-        for address in self._choose_peers(is_urgent):
-            if address not in self._exchanging:
-                self._exchanging.add(address)
-                eventlet.spawn(self._exchange_with, address)
+    def exchange_news(self) -> None:
+        """Exchange news with some peers now, or as soon as MIN_PUSH_INTERVAL_S has passed."""
+        wait_s = self._pushed_s + MIN_PUSH_INTERVAL_S - now_s()
+        if wait_s <= 0:
+            self._push()
+        elif not self._is_push_due:
+            self._is_push_due = True
+            eventlet.spawn_after(wait_s, self._push)
 
     def live_entries(self, at_s: float) -> list[Member]:
         """Return the other entries that are neither suspected nor unreachable."""
         self._compensate_pause(at_s)
         return self.membership.live(MemberRole.ENTRY, at_s)
 
-    def build_news(self, at_s: float) -> ttypes.MeshNews:
-        """Return the news that this process sends to its peers."""
-        members = [
-            mesh.member_to_wire(m, age_s) for m, age_s in self.membership.entries_to_gossip(at_s)
+    def rank_in_zone(self, duty: str, at_s: float) -> int:
+        """Return this process's rank among the live entries of its zone for a duty."""
+        return self.membership.zone_ranking(duty, at_s).index(self.own.id)
+
+    def build_news(self, at_s: float, peer_zone: str) -> ttypes.MeshNews:
+        """Return the news that this process sends to a peer of a zone."""
+        scope = self.membership.gossip_scope(peer_zone, at_s)
+        return self._build_news(at_s, [heartbeat for _, heartbeat in scope])
+
+    def build_answer(self, request: ttypes.MeshNews, at_s: float) -> ttypes.MeshNews:
+        """Return the news that answers a peer's, with the members that the peer lacks."""
+        peer = request.sender
+        scope = self.membership.gossip_scope(peer.zone, at_s)
+        answer = self._build_news(at_s, [heartbeat for _, heartbeat in scope])
+        known = {h.digest for h in mesh.heartbeats_from_wire(request.heartbeats or b"")}
+        answer.members = [
+            mesh.member_to_wire(attrs.evolve(member, beat=heartbeat.beat), heartbeat.age_s)
+            for member, heartbeat in scope
+            if heartbeat.digest not in known and member.id != peer.id
         ]
+        if peer.role == MemberRole.AGENT.value:
+            # Agents order the loads of their zone's engines among themselves.
+            statuses = self.engines.recent_direct(at_s)
+            answer.engines = [mesh.engine_to_wire(status, at_s) for status in statuses]
+        return answer
+
+    def _build_news(self, at_s: float, heartbeats: list[Heartbeat]) -> ttypes.MeshNews:
         counts = [ttypes.InFlight(k, n) for k, n in self.own_in_flight().items()]
         crashes = [ttypes.CrashCount(*pair) for pair in self.own_crash_counts(at_s)]
         states = [
             ttypes.MirrorState(m.prefix, m.complete_revision, _optional_age_to_ms(m.age_s(at_s)))
             for m in self.mirrors
         ]
-        engines = [mesh.engine_to_wire(status, at_s) for status in self.engines.recent(at_s)]
+        # An agent's own engine, in case its datagrams are lost.
+        own_engines = self.engines.recent(at_s) if self.own.role is MemberRole.AGENT else []
         targets = [
             ttypes.TargetNews(target.model, target.version, _optional_age_to_ms(at_s - learned_s))
             for target, learned_s in self.targets.known_versions()
         ]
-        sender = mesh.member_to_wire(self.own, 0.0)
-        return ttypes.MeshNews(sender, members, states, counts, engines, crashes, targets)
+        return ttypes.MeshNews(
+            sender=mesh.member_to_wire(self.own, 0.0),
+            members=[],
+            mirrors=states,
+            in_flight=counts,
+            engines=[
+                mesh.engine_to_wire(status, at_s)
+                for status in own_engines
+                if status.address == self.own.caller_address
+            ],
+            crash_counts=crashes,
+            targets=targets,
+            heartbeats=mesh.heartbeats_to_wire(heartbeats),
+            zones=self._build_zone_sizes(at_s),
+        )
+
+    def _build_zone_sizes(self, at_s: float) -> list[ttypes.ZoneSize]:
+        if self.own.role is MemberRole.AGENT:
+            return []
+        sizes = self.membership.zone_sizes(at_s)
+        return [
+            ttypes.ZoneSize(zone, entries, mesh.age_to_ms(age_s))
+            for zone, (entries, age_s) in sizes.items()
+        ]
 
     def apply_news(self, news: ttypes.MeshNews, requested_s: float | None) -> None:
         """Apply a peer's news; requested_s is when it was requested, None if it was not.
@@ -129,14 +183,20 @@
         at_s = now_s()
         try:
             updates = [mesh.member_from_wire(wire) for wire in (news.sender, *news.members)]
+            # Absent in the news of an earlier release.
+            heartbeats = mesh.heartbeats_from_wire(news.heartbeats or b"")
         except ValueError as error:
             log_event(_logger, PeerSilent(news.sender.peer_address, f"can't decode news: {error}"))
             return
         for member, age_s in updates:
             self.membership.apply_update(member, age_s, at_s)
-        for wire in news.engines:
-            self.engines.update(mesh.engine_from_wire(wire, at_s))
+        self.membership.apply_heartbeats(heartbeats, at_s)
+        for size in news.zones or ():
+            self.membership.apply_zone_size(size.zone, size.entries, size.age_ms / MS_PER_S, at_s)
         sender = news.sender
+        is_agent = sender.role == MemberRole.AGENT.value
+        for wire in news.engines:
+            self.engines.update(mesh.engine_from_wire(wire, at_s), is_direct=is_agent)
         if sender.role == MemberRole.ENTRY.value:
             self.on_in_flight(sender.id, {c.upstream_id: c.requests for c in news.in_flight}, at_s)
         if news.crash_counts:
@@ -158,12 +218,19 @@
             if mirror is None:
                 continue
             if state.complete_revision > mirror.complete_revision:
-                eventlet.spawn(self._pull, mirror, news.sender.peer_address)
+                self._start_pull(mirror, state.complete_revision, news.sender.peer_address)
             elif requested_s is not None and state.age_ms >= 0:
                 age_s = state.age_ms / MS_PER_S
                 mirror.apply_confirmation(state.complete_revision, age_s, requested_s)
 
-    def _pull(self, mirror: Mirror, address: str) -> None:
+    def _start_pull(self, mirror: Mirror, revision: int, address: str) -> None:
+        """Pull a peer's newer copy, unless one of at least this revision is being pulled."""
+        pulled = self._pulled_revisions.get(mirror.prefix, 0)
+        if revision > pulled:
+            self._pulled_revisions[mirror.prefix] = revision
+            eventlet.spawn(self._pull, mirror, revision, address)
+
+    def _pull(self, mirror: Mirror, revision: int, address: str) -> None:
         link = mesh_link(address, PEER_TIMEOUT_S)
         requested_s = now_s()
         try:
@@ -173,6 +240,8 @@
             return
         finally:
             link.close()
+            if self._pulled_revisions.get(mirror.prefix) == revision:
+                del self._pulled_revisions[mirror.prefix]
         changes = mirror.apply_delta(mesh.delta_from_wire(wire), requested_s)
         if changes:
             self.on_changes(mirror, changes)
@@ -180,34 +249,68 @@
 
     def _round(self) -> None:
         self._compensate_pause(now_s())
-        self.exchange_news(is_urgent=False)
+        self._rounds += 1
+        self._exchange_with_all(self._choose_peers(now_s()))
         eventlet.sleep(ROUND_INTERVAL_S * random.uniform(0.85, 1.15))
 
-    def _choose_peers(self, is_urgent: bool) -> list[str]:
+    def _push(self) -> None:
+        self._is_push_due = False
+        at_s = now_s()
+        self._pushed_s = at_s
+        self._exchange_with_all(self._choose_push_peers(at_s))
+
+    def _exchange_with_all(self, peers: dict[str, str]) -> None:
+        self.own = attrs.evolve(self.own, beat=self.own.beat + 1)
+        for address, zone in peers.items():
+            if address not in self._exchanging:
+                self._exchanging.add(address)
+                eventlet.spawn(self._exchange_with, address, zone)
+
+    def _choose_peers(self, at_s: float) -> dict[str, str]:
+        """Return the addresses of the peers of a round, with their zones."""
         entries = self.membership.members(MemberRole.ENTRY)
-        in_zone = [m.peer_address for m in entries if m.zone == self.own.zone]
-        cross_zone = [m.peer_address for m in entries if m.zone != self.own.zone]
+        in_zone = [m for m in entries if m.zone == self.own.zone]
+        others = [m for m in entries if m.zone != self.own.zone]
         if self.own.role is MemberRole.AGENT:
             # An agent's link is slow, and one entry forwards its news to the others.
-            chosen = random.sample(in_zone or cross_zone, min(1, len(in_zone or cross_zone)))
+            chosen = _sample(in_zone or others, 1)
         else:
-            chosen = random.sample(in_zone, min(IN_ZONE_FANOUT, len(in_zone)))
-            if is_urgent:
-                chosen += _sample_other_zones(self.live_entries(now_s()), self.own.zone)
-            elif self._rounds % ROUNDS_PER_CROSS_ZONE_EXCHANGE == 0 or not in_zone:
-                chosen += random.sample(cross_zone, min(CROSS_ZONE_FANOUT, len(cross_zone)))
-        known_addresses = {*in_zone, *cross_zone, self.own.peer_address}
+            chosen = _sample(in_zone, IN_ZONE_FANOUT)
+            if self.rank_in_zone(RELAY_DUTY, at_s) < RELAYS_PER_ZONE or not in_zone:
+                chosen += self._choose_in_next_zone(others)
+        return self._add_seed({m.peer_address: m.zone for m in chosen}, entries)
+
+    def _choose_push_peers(self, at_s: float) -> dict[str, str]:
+        """Return the peers that get a change at once: some of the zone, its relays, other zones."""
+        live = self.live_entries(at_s)
+        in_zone = [m for m in live if m.zone == self.own.zone]
+        if self.own.role is MemberRole.AGENT:
+            return {m.peer_address: m.zone for m in _sample(in_zone or live, 1)}
+        relays = self.membership.zone_ranking(RELAY_DUTY, at_s)[:RELAYS_PER_ZONE]
+        chosen = _sample(in_zone, IN_ZONE_FANOUT) + [m for m in in_zone if m.id in relays]
+        if self.own.id in relays:
+            by_zone = _group_by_zone([m for m in live if m.zone != self.own.zone])
+            chosen += [random.choice(members) for members in by_zone.values()]
+        return {m.peer_address: m.zone for m in chosen}
+
+    def _choose_in_next_zone(self, others: list[Member]) -> list[Member]:
+        """Return a member of the next other zone, so that each gets a turn."""
+        by_zone = _group_by_zone(others)
+        zones = sorted(by_zone)
+        return _sample(by_zone[zones[self._rounds % len(zones)]], 1) if zones else []
+
+    def _add_seed(self, peers: dict[str, str], entries: list[Member]) -> dict[str, str]:
+        known_addresses = {m.peer_address for m in entries} | {self.own.peer_address}
         # After a partition, a seed that is not a known entry may be the only path to the others.
         unknown_seeds = [seed for seed in self.seeds if seed not in known_addresses]
-        chosen += random.sample(unknown_seeds, min(1, len(unknown_seeds)))
-        return chosen
+        return peers | {seed: UNKNOWN_ZONE for seed in _sample(unknown_seeds, 1)}
 
-    def _exchange_with(self, address: str) -> None:
+    def _exchange_with(self, address: str, zone: str) -> None:
         link = self._links.setdefault(address, mesh_link(address, PEER_TIMEOUT_S))
         requested_s = now_s()
         self.exchanges += 1
         try:
-            answer = link.call("gossip", self.build_news(requested_s))
+            answer = link.call("gossip", self.build_news(requested_s, zone))
         except PeerError as error:
             self._record_failure(address, str(error))
         else:
@@ -242,9 +345,12 @@
     return -1 if age_s == float("inf") else mesh.age_to_ms(age_s)
 
 
-def _sample_other_zones(entries: list[Member], own_zone: str) -> list[str]:
-    by_zone: dict[str, list[str]] = {}
-    for member in entries:
-        if member.zone != own_zone:
-            by_zone.setdefault(member.zone, []).append(member.peer_address)
-    return [random.choice(addresses) for addresses in by_zone.values()]
+def _sample(items: list, count: int) -> list:
+    return random.sample(items, min(count, len(items)))
+
+
+def _group_by_zone(members: list[Member]) -> dict[str, list[Member]]:
+    by_zone: dict[str, list[Member]] = {}
+    for member in members:
+        by_zone.setdefault(member.zone, []).append(member)
+    return by_zone
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -11,7 +11,7 @@
 
 from daisystack.backends import BackendError, PublishedStore
 from daisystack.core.mirror import Mirror
-from daisystack.core.readers import max_mirror_age_s
+from daisystack.core.readers import BASE_BOUND_S, max_mirror_age_s
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import DependencyLost, DependencyRegained
 from daisystack.runtime.logs import log_event
@@ -43,6 +43,8 @@
     store: PublishedStore
     reader_rank: Callable[[], int]
     on_changes: Callable[[Mirror, list], None]
+    # Time within which a publication must be in force.
+    publication_bound_s: float = BASE_BOUND_S
     calls: int = 0
     _is_store_lost: bool = False
     _read_latency_s: float = 0.0
@@ -83,7 +85,9 @@
     def _step(self) -> None:
         if not self.mirror.has_snapshot:
             eventlet.sleep(random.uniform(0.0, START_JITTER_S))
-        max_age_s = max_mirror_age_s(self.reader_rank(), self._read_latency_s)
+        max_age_s = max_mirror_age_s(
+            self.reader_rank(), self._read_latency_s, self.publication_bound_s
+        )
         wait_s = max_age_s - self.mirror.age_s(now_s())
         if wait_s > 0:
             eventlet.sleep(max(MIN_WAIT_S, min(wait_s, max_age_s)))
--- a/daisystack/runtime/piece_source.py
+++ b/daisystack/runtime/piece_source.py
@@ -22,6 +22,9 @@
 PROBE_BYTES = 1
 # Entries pull pieces in order, so this one is available first.
 FIRST_PIECE = 0
+# Longest wait for the list of a version; another version may become wanted meanwhile.
+LIST_WAIT_S = 0.3
+MS_PER_S = 1000
 
 _logger = logging.getLogger("daisystack.agent")
 
@@ -36,16 +39,29 @@
     _poll_count: int = 0
 
     def find_list(self, target: WeightTarget) -> PieceList | None:
-        """Return the pieces of a version from the first entry that knows them, else None."""
-        lists = (self._request_list(member, target) for member in self.entries())
-        return next((pieces for pieces in lists if pieces is not None), None)
+        """Return the pieces of a version from an entry that knows them, else None.
+
+        The agents of a zone query the same entry, so that the others need not fetch the list, and
+        another one only if that one does not answer in time.
+        """
+        first = self.holder(FIRST_PIECE)
+        if first is None:
+            return None
+        pieces = self._request_list(first, target, LIST_WAIT_S)
+        if pieces is not None:
+            return pieces
+        others = [member for member in self._nearby() if member.id != first.id]
+        self._poll_count += 1
+        if not others:
+            return None
+        return self._request_list(others[self._poll_count % len(others)], target)
 
     def poll_list(self, target: WeightTarget) -> PieceList | None:
         """Return a version's pieces if the next entry knows them and the first is available.
 
         Calls go through the live entries in rotation.
         """
-        entries = self.entries()
+        entries = self._nearby()
         if not entries:
             return None
         self._poll_count += 1
@@ -72,13 +88,20 @@
         """Return the live entry that holds a piece for this zone, or None if there is none."""
         entries = self.entries()
         plan = HolderPlan(self.zone, members_by_zone([(m.id, m.zone) for m in entries]))
-        holder_id = plan.fetcher(index)
+        holder_id = plan.nearest_holder(self.zone, index)
         return next((m for m in entries if m.id == holder_id), None)
 
-    def _request_list(self, member: Member, target: WeightTarget) -> PieceList | None:
+    def _nearby(self) -> list[Member]:
+        """Return the live entries of the zone, or those of all zones if it has none."""
+        entries = self.entries()
+        return [member for member in entries if member.zone == self.zone] or entries
+
+    def _request_list(
+        self, member: Member, target: WeightTarget, wait_s: float = 0.0
+    ) -> PieceList | None:
         link = mesh_link(member.peer_address, PEER_TIMEOUT_S)
         try:
-            digests = link.call("digests", target.model, target.version)
+            digests = link.call("digests", target.model, target.version, int(wait_s * MS_PER_S))
             return PieceList(target.model, target.version, tuple(digests)) if digests else None
         except (PeerError, ValueError) as error:
             log_event(_logger, WeightSourceFailed(member.id, str(error)))
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -13,7 +13,13 @@
 from daisystack.core.membership import Member
 from daisystack.core.pull_pace import slice_pause_s
 from daisystack.core.targets import Targets, WeightTarget
-from daisystack.core.weight_pieces import HolderPlan, PieceCache, PieceList, members_by_zone
+from daisystack.core.weight_pieces import (
+    MAX_ORIGIN_CONNECTIONS,
+    HolderPlan,
+    PieceCache,
+    PieceList,
+    members_by_zone,
+)
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import ChunkRejected, WeightsHeld, WeightSourceFailed
 from daisystack.runtime.logs import log_event
@@ -26,8 +32,7 @@
 # Takes 17 ms on a link of 3.8 Mbit/s, the longest that a request waits behind one slice.
 SLICE_BYTES = 8192
 
-# Connections of one entry to the origin, which accepts a few dozen in total.
-MAX_ORIGIN_PULLS = 3
+MAX_ORIGIN_PULLS = MAX_ORIGIN_CONNECTIONS - 1
 # Concurrent pulls from other entries: one is transferred while another waits for its piece.
 MAX_PEER_PULLS = 3
 # Concurrent pulls from agents, whose links carry answers too.
@@ -56,6 +61,8 @@
     on_unreachable: Callable[[str], None]
     # Returns the nearby agents whose engines serve a version and that thus have its pieces staged.
     serving_agents: Callable[[int], list[Member]] = lambda version: []
+    # Returns how many connections the origin accepts from all entries together, 0 for any number.
+    origin_connections: Callable[[], int] = lambda: 0
     cache: PieceCache = field(factory=PieceCache)
     origin_bytes: int = 0
     origin_calls: int = 0
@@ -77,12 +84,14 @@
             return
         eventlet.spawn(self._pull_share, target)
 
-    def digests(self, model: str, version: int) -> list[str]:
-        """Return the digests of a version; if not known yet, start to fetch them and return []."""
-        pieces = self.cache.lists.get((model, version))
-        if pieces is None:
+    def digests(self, model: str, version: int, wait_s: float) -> list[str]:
+        """Return the digests of a version, fetching them for up to wait_s; else return []."""
+        deadline_s = now_s() + wait_s
+        while (pieces := self.cache.lists.get((model, version))) is None:
             self._start_list_fetch(model, version)
-            return []
+            if now_s() >= deadline_s:
+                return []
+            eventlet.sleep(POLL_INTERVAL_S)
         return list(pieces.digests)
 
     def piece(self, model: str, version: int, index: int, wait_s: float) -> bytes | None:
@@ -143,26 +152,42 @@
             self._fetching_lists.discard(key)
 
     def _read_peer_list(self, model: str, version: int) -> PieceList | None:
-        fetcher = self._find_member(self._build_plan().fetcher(0))
-        if fetcher is None:
-            return None
-        link = mesh_link(fetcher.peer_address, PEER_TIMEOUT_S)
-        deadline_s = now_s() + PEER_WAIT_S
-        try:
-            while now_s() < deadline_s:
-                digests = link.call("digests", model, version)
+        for source in self._list_sources():
+            link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+            try:
+                digests = link.call("digests", model, version, _wait_ms(PEER_WAIT_S))
                 if digests:
                     return PieceList(model, version, tuple(digests))
-                eventlet.sleep(POLL_INTERVAL_S)
-        except (PeerError, ValueError) as error:
-            log_event(_logger, WeightSourceFailed(fetcher.id, str(error)))
-        finally:
-            link.close()
+            except (PeerError, ValueError) as error:
+                log_event(_logger, WeightSourceFailed(source.id, str(error)))
+            finally:
+                link.close()
         return None
 
+    def _list_sources(self) -> list[Member]:
+        """Return the entries to query for a list, so that one a zone queries another zone.
+
+        The entry that holds the zone's first piece queries the fetcher, all others query it.
+        """
+        plan, own = self._build_plan(), self.own_member()
+        holder, fetcher = plan.holder(own.zone, 0), plan.fetcher(0)
+        gateways = plan.gateways(own.zone)
+        if own.id == fetcher:
+            return []
+        if own.id in gateways:
+            ids = [fetcher]
+        else:
+            ids = [fetcher if own.id == holder else holder, gateways[0]]
+        found = (self._find_member(member_id) for member_id in dict.fromkeys(ids))
+        return [member for member in found if member is not None]
+
+    def _may_use_origin(self) -> bool:
+        own = self.own_member()
+        return own.id in self._build_plan().gateways(own.zone)
+
     def _read_origin_list(self, model: str, version: int) -> PieceList | None:
         origin_and_zone = self.find_origin()
-        if origin_and_zone is None:
+        if origin_and_zone is None or not self._may_use_origin():
             return None
         self.origin_calls += 1
         try:
@@ -189,6 +214,9 @@
                 with self._peer_slots:
                     if self._pull_from_peer(pieces, index, source):
                         return
+            if not self._may_use_origin():
+                self._pull_from_gateway(pieces, index)
+                return
             rejected = 0
             while rejected < MAX_REJECTED:
                 body = self._fetch_from_origin(pieces, index)
@@ -240,6 +268,16 @@
             return False
         return body is not None
 
+    def _pull_from_gateway(self, pieces: PieceList, index: int) -> None:
+        """Pull a piece that its fetcher did not send from an entry that may use the origin."""
+        gateways = self._build_plan().gateways(self.own_member().zone)
+        source = self._find_member(gateways[index % len(gateways)])
+        if source is None:
+            eventlet.sleep(RETRY_S)
+            return
+        with self._peer_slots:
+            self._pull_from_peer(pieces, index, source)
+
     def _fetch_from_origin(self, pieces: PieceList, index: int) -> bytes | None:
         origin_and_zone = self.find_origin()
         if origin_and_zone is None:
@@ -257,7 +295,8 @@
     def _build_plan(self) -> HolderPlan:
         origin_and_zone = self.find_origin()
         members = [(m.id, m.zone) for m in (self.own_member(), *self.entries())]
-        return HolderPlan(origin_and_zone[1] if origin_and_zone else "", members_by_zone(members))
+        origin_zone = origin_and_zone[1] if origin_and_zone else ""
+        return HolderPlan(origin_zone, members_by_zone(members), self.origin_connections())
 
     def _find_member(self, member_id: str | None) -> Member | None:
         """Return another live entry by its id, or None."""
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -12,7 +12,7 @@
 from daisystack.backends import BackendError, LocalEngine
 from daisystack.core.addresses import parse_address
 from daisystack.core.direct_settings import ProcessIdentity, WeightAgentSettings
-from daisystack.core.engine_status import EngineStatus
+from daisystack.core.engine_status import EngineStatus, ReportPacer
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.rollout_schedule import RolloutSchedule, order_time_s
 from daisystack.core.targets import WeightTarget
@@ -44,6 +44,10 @@
 
 # On its own machine the engine's state is up to date and costs nothing to read.
 STATE_POLL_INTERVAL_S = 0.1
+# Without requests, the state changes only when the first one arrives.
+IDLE_POLL_INTERVAL_S = 0.2
+# A zone without live entries still has its engines used from other zones.
+REMOTE_RECEIVERS = 2
 STAGE_INTERVAL_S = 0.1
 # One piece is staged while another is transferred; requests wait behind two slices at most.
 CONCURRENT_PULLS = 2
@@ -98,6 +102,7 @@
     _staged_key: tuple[str, int, int] | None = None
     _is_engine_lost: bool = False
     _progress: _PullProgress | None = None
+    _pacer: ReportPacer = field(factory=ReportPacer)
 
     def __attrs_post_init__(self) -> None:
         identity = self.settings.identity
@@ -151,7 +156,7 @@
         ]
 
     def _poll_engine(self) -> None:
-        eventlet.sleep(STATE_POLL_INTERVAL_S)
+        eventlet.sleep(self._poll_interval_s())
         at_s = now_s()
         try:
             state = self.engine.state()
@@ -167,6 +172,16 @@
         self.engine_state = state
         self._report_state(state, at_s)
 
+    def _poll_interval_s(self) -> float:
+        state, target = self.engine_state, self._target()
+        is_idle = (
+            state is not None
+            and target is not None
+            and state.version == target.version
+            and not (state.running or state.queued or state.is_busy)
+        )
+        return IDLE_POLL_INTERVAL_S if is_idle else STATE_POLL_INTERVAL_S
+
     def _report_state(self, state: EngineState, read_s: float) -> None:
         """Send the engine's status to the entries of the zone and add it to the next news."""
         status = EngineStatus(
@@ -181,8 +196,16 @@
             loads_at_s=self._loads_at_s(read_s),
         )
         self.mesh.engines.update(status)
-        in_zone = [m for m in self._entries() if m.zone == self.settings.identity.zone]
-        self.status_sender.send(status, [member.news_address for member in in_zone], now_s())
+        if self._pacer.is_due(status):
+            self._pacer.record_sent(status)
+            receivers = [member.news_address for member in self._report_receivers()]
+            self.status_sender.send([status], receivers, now_s(), is_direct=True)
+
+    def _report_receivers(self) -> list[Member]:
+        """Return the entries of the zone, or if there are none, some that relay for it."""
+        entries = self._entries()
+        in_zone = [m for m in entries if m.zone == self.settings.identity.zone]
+        return in_zone or entries[:REMOTE_RECEIVERS]
 
     def _stage_and_order(self) -> None:
         eventlet.sleep(STAGE_INTERVAL_S)
@@ -393,7 +416,7 @@
 
     agent: WeightAgent
 
-    def digests(self, model: str, version: int) -> list[str]:
+    def digests(self, model: str, version: int, wait_s: float) -> list[str]:
         """Return no digests, as entries know them."""
         return []
 
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -29,7 +29,7 @@
 def build_entry():
     addresses = [free_address() for _ in range(6)]
     settings = DirectEntrySettings(
-        ProcessIdentity("e1", "z1", "r1", ()), *addresses, 1.0, 8.0, 5.0, 8.0, 0.2, 100.0, 10.0
+        ProcessIdentity("e1", "z1", "r1", ()), *addresses, 1.0, 8.0, 2.0, 5.0, 8.0, 0.2, 100.0, 10.0
     )
     return DirectEntry(settings, "op/", "up/", None, Reader(), PlainDialect(), None)
 
@@ -37,7 +37,7 @@
 def build_mesh_news(version, age_ms=100):
     sender = Member("e2", "i1", MemberRole.ENTRY, "127.0.0.1:1", "", "", "z1", "r1")
     targets = [ttypes.TargetNews("m", version, age_ms)]
-    return ttypes.MeshNews(mesh.member_to_wire(sender, 0.0), [], [], [], [], [], targets)
+    return ttypes.MeshNews(mesh.member_to_wire(sender, 0.0), [], [], [], [], [], targets, b"", [])
 
 
 class TestTargets(unittest.TestCase):
--- a/daisystack/tests/test_membership.py
+++ b/daisystack/tests/test_membership.py
@@ -63,8 +63,8 @@
             membership = Membership(own_id)
             for other in ids:
                 membership.apply_update(build_member(other), 0.0, 10.0)
-            membership.entries_to_gossip(39.0)
-            entries = 1 + len(membership.members(MemberRole.ENTRY))
+            membership.gossip_scope("", 39.0)
+            entries = membership.entry_count(39.0)
             budget = WindowedBudget(0.2, 104.0, 10.0)
             sent += sum(1 for _ in range(200) if budget.try_consume(entries, 39.0))
         self.assertLessEqual(sent, 104)
@@ -72,7 +72,7 @@
     def test_agents_are_not_gossiped(self):
         membership = Membership("me")
         membership.apply_update(build_member("a1", role=MemberRole.AGENT), 0.0, 10.0)
-        self.assertEqual(membership.entries_to_gossip(10.0), [])
+        self.assertEqual(membership.gossip_scope("z1", 10.0), [])
 
 
 class TestUsableEntries(unittest.TestCase):
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -36,11 +36,12 @@
         """
         pass
 
-    def digests(self, model, version):
+    def digests(self, model, version, wait_ms):
         """
         Parameters:
          - model
          - version
+         - wait_ms
 
         """
         pass
@@ -167,21 +168,23 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "mirror failed: unknown result")
 
-    def digests(self, model, version):
+    def digests(self, model, version, wait_ms):
         """
         Parameters:
          - model
          - version
+         - wait_ms
 
         """
-        self.send_digests(model, version)
+        self.send_digests(model, version, wait_ms)
         return self.recv_digests()
 
-    def send_digests(self, model, version):
+    def send_digests(self, model, version, wait_ms):
         self._oprot.writeMessageBegin('digests', TMessageType.CALL, self._seqid)
         args = digests_args()
         args.model = model
         args.version = version
+        args.wait_ms = wait_ms
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -481,7 +484,7 @@
         iprot.readMessageEnd()
         result = digests_result()
         try:
-            result.success = self._handler.digests(args.model, args.version)
+            result.success = self._handler.digests(args.model, args.version, args.wait_ms)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -905,13 +908,15 @@
     Attributes:
      - model
      - version
+     - wait_ms
 
     """
 
 
-    def __init__(self, model=None, version=None,):
+    def __init__(self, model=None, version=None, wait_ms=None,):
         self.model = model
         self.version = version
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -932,6 +937,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -950,6 +960,10 @@
             oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -971,6 +985,7 @@
     None,  # 0
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
 )
 
 
@@ -997,10 +1012,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.success.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1017,8 +1032,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRING, len(self.success))
-            for iter69 in self.success:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter83 in self.success:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -1281,6 +1281,85 @@
         return not (self == other)
 
 
+class ZoneSize(object):
+    """
+    Attributes:
+     - zone
+     - entries
+     - age_ms
+
+    """
+
+
+    def __init__(self, zone=None, entries=None, age_ms=None,):
+        self.zone = zone
+        self.entries = entries
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneSize')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 2)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MeshNews(object):
     """
     Attributes:
@@ -1291,11 +1370,13 @@
      - engines
      - crash_counts
      - targets
+     - heartbeats
+     - zones
 
     """
 
 
-    def __init__(self, sender=None, members=None, mirrors=None, in_flight=None, engines=None, crash_counts=None, targets=None,):
+    def __init__(self, sender=None, members=None, mirrors=None, in_flight=None, engines=None, crash_counts=None, targets=None, heartbeats=None, zones=None,):
         self.sender = sender
         self.members = members
         self.mirrors = mirrors
@@ -1303,6 +1384,8 @@
         self.engines = engines
         self.crash_counts = crash_counts
         self.targets = targets
+        self.heartbeats = heartbeats
+        self.zones = zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1385,6 +1468,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.heartbeats = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.zones = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = ZoneSize()
+                        _elem55.read(iprot)
+                        self.zones.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1402,45 +1501,144 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter50 in self.members:
-                iter50.write(oprot)
+            for iter56 in self.members:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mirrors is not None:
             oprot.writeFieldBegin('mirrors', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.mirrors))
-            for iter51 in self.mirrors:
-                iter51.write(oprot)
+            for iter57 in self.mirrors:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.in_flight))
-            for iter52 in self.in_flight:
-                iter52.write(oprot)
+            for iter58 in self.in_flight:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter53 in self.engines:
-                iter53.write(oprot)
+            for iter59 in self.engines:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_counts is not None:
             oprot.writeFieldBegin('crash_counts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crash_counts))
-            for iter54 in self.crash_counts:
-                iter54.write(oprot)
+            for iter60 in self.crash_counts:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter55 in self.targets:
-                iter55.write(oprot)
+            for iter61 in self.targets:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heartbeats is not None:
+            oprot.writeFieldBegin('heartbeats', TType.STRING, 8)
+            oprot.writeBinary(self.heartbeats)
+            oprot.writeFieldEnd()
+        if self.zones is not None:
+            oprot.writeFieldBegin('zones', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.zones))
+            for iter62 in self.zones:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineReports(object):
+    """
+    Attributes:
+     - engines
+     - direct
+     - forward
+
+    """
+
+
+    def __init__(self, engines=None, direct=None, forward=None,):
+        self.engines = engines
+        self.direct = direct
+        self.forward = forward
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = EngineNews()
+                        _elem68.read(iprot)
+                        self.engines.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.direct = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.forward = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineReports')
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter69 in self.engines:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.direct is not None:
+            oprot.writeFieldBegin('direct', TType.BOOL, 2)
+            oprot.writeBool(self.direct)
+            oprot.writeFieldEnd()
+        if self.forward is not None:
+            oprot.writeFieldBegin('forward', TType.BOOL, 3)
+            oprot.writeBool(self.forward)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1593,11 +1791,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = MirrorItem()
-                        _elem61.read(iprot)
-                        self.items.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MirrorItem()
+                        _elem75.read(iprot)
+                        self.items.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1626,8 +1824,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter62 in self.items:
-                iter62.write(oprot)
+            for iter76 in self.items:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1948,6 +2146,13 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(ZoneSize)
+ZoneSize.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'entries', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(MeshNews)
 MeshNews.thrift_spec = (
     None,  # 0
@@ -1958,6 +2163,15 @@
     (5, TType.LIST, 'engines', (TType.STRUCT, [EngineNews, None], False), None, ),  # 5
     (6, TType.LIST, 'crash_counts', (TType.STRUCT, [CrashCount, None], False), None, ),  # 6
     (7, TType.LIST, 'targets', (TType.STRUCT, [TargetNews, None], False), None, ),  # 7
+    (8, TType.STRING, 'heartbeats', 'BINARY', None, ),  # 8
+    (9, TType.LIST, 'zones', (TType.STRUCT, [ZoneSize, None], False), None, ),  # 9
+)
+all_structs.append(EngineReports)
+EngineReports.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'engines', (TType.STRUCT, [EngineNews, None], False), None, ),  # 1
+    (2, TType.BOOL, 'direct', None, None, ),  # 2
+    (3, TType.BOOL, 'forward', None, None, ),  # 3
 )
 all_structs.append(MirrorItem)
 MirrorItem.thrift_spec = (
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import math
+import struct
+from collections.abc import Iterable
+
 from daisystack.core.engine_status import EngineStatus
-from daisystack.core.membership import Member, MemberRole
+from daisystack.core.membership import Heartbeat, Member, MemberRole
 from daisystack.core.mirror import Change, Delta
 from daisystack.wire.gen import ttypes
 
@@ -12,6 +16,8 @@
     "delta_to_wire",
     "engine_from_wire",
     "engine_to_wire",
+    "heartbeats_from_wire",
+    "heartbeats_to_wire",
     "member_from_wire",
     "member_to_wire",
 ]
@@ -19,6 +25,10 @@
 MS_PER_S = 1000
 # Fits the i32 fields; receivers don't distinguish larger ages.
 MAX_AGE_MS = 10**9
+# Digest, beat and age in hundredths of a second; the most frequent records, so they are packed.
+_HEARTBEAT = struct.Struct(">QIH")
+CS_PER_S = 100
+MAX_AGE_CS = 2**16 - 1
 
 
 def age_to_ms(age_s: float) -> int:
@@ -62,6 +72,26 @@
     return member, wire.age_ms / MS_PER_S
 
 
+def heartbeats_to_wire(heartbeats: Iterable[Heartbeat]) -> bytes:
+    """Return packed heartbeats; ages are rounded up so that none looks too recent."""
+    return b"".join(
+        _HEARTBEAT.pack(h.digest, h.beat, min(MAX_AGE_CS, math.ceil(max(0.0, h.age_s) * CS_PER_S)))
+        for h in heartbeats
+    )
+
+
+def heartbeats_from_wire(packed: bytes) -> list[Heartbeat]:
+    """Return the heartbeats of a message; raise ValueError if the last one is incomplete."""
+    if len(packed) % _HEARTBEAT.size:
+        raise ValueError(
+            f"got {len(packed)} bytes of heartbeats, allowed are multiples of {_HEARTBEAT.size}"
+        )
+    return [
+        Heartbeat(digest, beat, age_cs / CS_PER_S)
+        for digest, beat, age_cs in _HEARTBEAT.iter_unpack(packed)
+    ]
+
+
 def engine_to_wire(status: EngineStatus, now_s: float) -> ttypes.EngineNews:
     """Return the thrift message of an engine's status."""
     return ttypes.EngineNews(
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -108,14 +108,34 @@
   3: i32 age_ms
 }
 
+// Number of entries of an availability zone, as the zone itself counts them.
+struct ZoneSize {
+  1: string zone
+  2: i32 entries
+  3: i32 age_ms
+}
+
 struct MeshNews {
   1: MemberState sender
+  // Members that the receiver of an answer lacks, going by the heartbeats in its request.
   2: list<MemberState> members
   3: list<MirrorState> mirrors
   4: list<InFlight> in_flight
   5: list<EngineNews> engines
   6: list<CrashCount> crash_counts
   7: list<TargetNews> targets
+  // Packed heartbeats of known entries; see daisystack.wire.heartbeats.
+  8: binary heartbeats
+  9: list<ZoneSize> zones
+}
+
+// Datagram with engine statuses.
+struct EngineReports {
+  1: list<EngineNews> engines
+  // Sent by the agent of the engine itself.
+  2: bool direct
+  // The receiving entry sends it on to its zone.
+  3: bool forward
 }
 
 struct MirrorItem {
@@ -152,8 +172,8 @@
 service Peer {
   MeshNews gossip(1: MeshNews mine)
   MirrorDelta mirror(1: string prefix, 2: i64 after_revision)
-  // Digests of a version's pieces in order, empty if they are unknown.
-  list<string> digests(1: string model, 2: i64 version)
+  // Digests of a version's pieces in order, empty if they stay unknown for wait_ms.
+  list<string> digests(1: string model, 2: i64 version, 3: i32 wait_ms)
   Piece piece(1: PieceAsk ask)
   Status exchange(1: Status mine)
   Document document(1: i64 after_revision)
