Write log lines without waiting in the event loop

Cause: after monkey patching, os.write is eventlet's, which registers the descriptor and switches to the event loop before each write to anything but a regular file. A second green thread that logged meanwhile raised RuntimeError (second simultaneous write) in the caller of log_event, and each line cost an epoll registration and two switches. Found by profiling an entry whose output was /dev/null: its task died of that error. Tests write to regular files, where the green version does not wait. Change: the handler polls the descriptor as before and uses the original write. Test: fails before (the other thread runs during a log call).

--- a/daisystack/runtime/logs.py
+++ b/daisystack/runtime/logs.py
@@ -4,7 +4,6 @@
 
 import json
 import logging
-import os
 import re
 from enum import Enum
 
@@ -34,6 +33,8 @@
 BURST_LINES = 600.0
 MAX_LINE_BYTES = 4096
 POLLOUT = 4
+# The green version waits in the event loop before each write to a pipe.
+_write_bytes = eventlet.patcher.original("os").write
 
 _UNQUOTED_PATTERN = re.compile(r"[^\s\"=]+")
 _WORD_BOUNDARY_PATTERN = re.compile(r"(?<!^)(?=[A-Z])")
@@ -94,7 +95,7 @@
             self.rate_limiter.count_dropped()
             return
         try:
-            os.write(self.descriptor, body)
+            _write_bytes(self.descriptor, body)
         except OSError:
             # The reader is gone, so the failure can't be reported anywhere.
             self.rate_limiter.count_dropped()
--- a/daisystack/tests/test_direct_parts.py
+++ b/daisystack/tests/test_direct_parts.py
@@ -7,6 +7,8 @@
 import unittest
 from pathlib import Path
 
+import eventlet
+
 from daisystack.core.log_rate_limit import LogRateLimiter
 from daisystack.core.settings import SettingsRefused
 from daisystack.runtime.logs import BURST_LINES, BoundedHandler, build_formatter
@@ -84,6 +86,18 @@
         self.emit(20_000)
         self.assertGreater(self.handler.rate_limiter.dropped, 0)
 
+    def test_logging_never_switches_to_another_green_thread(self):
+        """A switch lets a second thread write at once, which the event loop refuses by raising."""
+        switches = []
+        other = eventlet.spawn(lambda: switches.append("other thread ran"))
+        self.addCleanup(other.kill)
+        self.emit(5)
+        self.assertEqual(switches, [])
+        writers = [eventlet.spawn(self.emit, 20) for _ in range(5)]
+        for writer in writers:
+            writer.wait()
+        self.assertEqual(os.read(self.reader, 1_000_000).count(b"\n"), 5 + 5 * 20)
+
 
 class TestRequestLines(unittest.TestCase):
     def test_request_ends_with_one_log_line(self):
