Compare positions in the store by era and revision

Mirrors compared revisions alone: they would have refused every read of the restored store, or, after enough writes, taken an older value for a newer one.

Change: reads and watches carry Store-Era. Mirrors, deltas between peers and confirmations have a position of era and revision; an answer of an earlier era is dropped, and ages of one prove nothing. Lost values are kept 3 s for their writers; upstreams that left do not come back with an older copy for 10 s.

--- a/daisystack/backends/__init__.py
+++ b/daisystack/backends/__init__.py
@@ -21,7 +21,7 @@
 )
 from daisystack.backends.config_service import HttpConfigService
 from daisystack.backends.engine import HttpModelEngine, HttpPlainService
-from daisystack.backends.http import HttpEndpoint
+from daisystack.backends.http import HttpEndpoint, HttpResponse
 from daisystack.backends.live_list import HttpLiveList
 from daisystack.backends.weight_source import HttpWeightSource
 
@@ -33,6 +33,7 @@
     "HttpLiveList",
     "HttpModelEngine",
     "HttpPlainService",
+    "HttpResponse",
     "HttpWeightSource",
     "LiveInstance",
     "LiveList",
--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -9,7 +9,7 @@
 from daisystack.core.config_keeper import PublishedDocument
 from daisystack.core.direct_request import DirectAnswer, DirectRequest
 from daisystack.core.gate import EngineReport
-from daisystack.core.mirror import Change, Snapshot
+from daisystack.core.mirror import Change, DocumentVersion, Snapshot
 from daisystack.core.placement import DirectUpstream
 from daisystack.core.register import ModelRef
 from daisystack.core.targets import WeightTarget
@@ -100,8 +100,13 @@
     def read(self, prefix: str) -> Snapshot:
         """Return all keys under a prefix, linearizably; raise BackendError."""
 
-    def watch(self, prefix: str, after_revision: int, wait_s: float) -> tuple[Change, ...]:
-        """Wait for changes after a revision, some of which may be missed; raise BackendError."""
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float, era: int
+    ) -> tuple[Change, ...]:
+        """Wait for changes after a revision of an era, some of which may be missed.
+
+        Raise BackendError, also if the store is in another era.
+        """
 
 
 Publication = TrafficPolicy | DirectUpstream | WeightTarget
@@ -116,6 +121,9 @@
     def upstream_id(self, key: str) -> str | None:
         """Return the id of the upstream that a key describes, None for other keys."""
 
+    def document_version(self, key: str, value: bytes) -> DocumentVersion | None:
+        """Return the version that a value states itself, None if it states none."""
+
 
 class RequestDialect(Protocol):
     """Convert between HTTP headers and direct requests and answers."""
--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -1,16 +1,29 @@
-"""Local mirror of published keys that never reverts and whose age is known."""
+"""Local mirror of published keys that never reverts and whose age is known.
+
+A store that came back from an older copy of itself has a higher era. Its revisions start again from
+the copy's, so revisions are compared only within an era. What the copy lacks was lost and is
+published again.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
-__all__ = ["Change", "Delta", "Mirror", "Snapshot"]
+__all__ = ["Change", "Delta", "DocumentVersion", "Mirror", "Snapshot"]
 
 # Deletions kept for peers that lag behind; peers that need older ones get a full copy.
 MAX_TOMBSTONES = 2048
 NEVER_CONFIRMED_S = float("-inf")
+# Publishers write lost values again within about two seconds of the store's return.
+LOST_VALUE_HOLD_S = 3.0
+# The store's older copy may list upstreams that have left; their entries expire by then.
+DISTRUST_S = 10.0
+# Revision of a value from an earlier era; any value of the present era has a higher one.
+EARLIER_ERA = 0
+
+DocumentVersion = tuple[int, ...]
 
 
 @frozen
@@ -32,6 +45,7 @@
     changes: tuple[Change, ...]
     revision: int
     requested_s: float
+    era: int = 0
 
 
 @frozen
@@ -42,6 +56,7 @@
     complete_revision: int
     age_s: float
     is_full: bool
+    era: int = 0
 
 
 @define
@@ -49,15 +64,26 @@
     """Keep the newest known value of each key under one prefix.
 
     complete_revision is the revision of the store up to which this copy is complete. confirmed_s
-    is the latest time at which the store is known to have held nothing newer.
+    is the latest time at which the store is known to have held nothing newer. Both are of one era.
+
+    document_version returns the version that a value states itself, None if it states none; it
+    orders values of different eras. A value without one is replaced by any of a later era.
     """
 
     prefix: str
+    document_version: Callable[[str, bytes], DocumentVersion | None] = lambda key, value: None
     complete_revision: int = 0
     confirmed_s: float = NEVER_CONFIRMED_S
+    era: int = 0
     _changes_by_key: dict[str, Change] = field(factory=dict)
     _tombstones: dict[str, int] = field(factory=dict)
     _pruned_revision: int = 0
+    # Versions of the values deleted in this era, and in earlier ones, which an older copy of the
+    # store must not bring back.
+    _deleted_versions: dict[str, DocumentVersion] = field(factory=dict)
+    _earlier_deleted: dict[str, DocumentVersion] = field(factory=dict)
+    # When this copy entered its era, for values that the era's first copy lacked.
+    _era_entered_s: float | None = None
 
     def __len__(self) -> int:
         return len(self._changes_by_key)
@@ -81,50 +107,115 @@
 
     def apply_snapshot(self, snapshot: Snapshot) -> list[Change]:
         """Apply a linearizable read and return what it changed."""
-        if snapshot.revision < self.complete_revision:
+        self._enter_era(snapshot.era, snapshot.requested_s)
+        if snapshot.era < self.era or snapshot.revision < self.complete_revision:
             return []
-        changed = self._apply_full(snapshot.changes, snapshot.revision)
+        changed = self._apply_full(snapshot.changes, snapshot.revision, snapshot.requested_s)
         self.confirmed_s = max(self.confirmed_s, snapshot.requested_s)
         return changed
 
-    def apply_events(self, events: Iterable[Change]) -> list[Change]:
-        """Apply watch events; they confirm nothing, since the watch may have missed others."""
+    def apply_events(self, events: Iterable[Change], era: int = 0) -> list[Change]:
+        """Apply watch events; they confirm nothing, since the watch may have missed others.
+
+        Events of another era are ignored, as a later era is entered by a full copy only.
+        """
+        if era != self.era:
+            return []
         return [event for event in events if self._apply(event)]
 
     def apply_delta(self, delta: Delta, requested_s: float) -> list[Change]:
         """Apply a peer's copy; requested_s is the local time at which the peer was asked."""
-        if delta.complete_revision < self.complete_revision:
+        if delta.is_full:
+            self._enter_era(delta.era, requested_s)
+        if delta.era != self.era or delta.complete_revision < self.complete_revision:
             return []
         if delta.is_full:
-            changed = self._apply_full(delta.changes, delta.complete_revision)
+            changed = self._apply_full(delta.changes, delta.complete_revision, requested_s)
         else:
             changed = [change for change in delta.changes if self._apply(change)]
             self.complete_revision = delta.complete_revision
         self.confirmed_s = max(self.confirmed_s, requested_s - delta.age_s)
         return changed
 
-    def apply_confirmation(self, complete_revision: int, age_s: float, requested_s: float) -> None:
+    def is_behind(self, era: int, complete_revision: int) -> bool:
+        """Return whether a copy at a position in the store is newer than this one."""
+        return complete_revision > 0 and (era, complete_revision) > (
+            self.era,
+            self.complete_revision,
+        )
+
+    def apply_confirmation(
+        self, complete_revision: int, age_s: float, requested_s: float, era: int = 0
+    ) -> None:
         """Apply a peer's confirmation, age_s old, that the store held nothing past a revision."""
-        if 0 < complete_revision <= self.complete_revision:
+        if era == self.era and 0 < complete_revision <= self.complete_revision:
             self.confirmed_s = max(self.confirmed_s, requested_s - age_s)
 
-    def delta_after(self, revision: int, now_s: float) -> Delta:
-        """Return the changes for a peer whose copy is complete up to a revision."""
-        if revision < self._pruned_revision or revision == 0:
-            changes = tuple(self._changes_by_key.values())
-            return Delta(changes, self.complete_revision, self.age_s(now_s), True)
+    def delta_after(self, revision: int, now_s: float, era: int = 0) -> Delta:
+        """Return the changes for a peer whose copy is complete up to a revision of an era.
+
+        Values kept from an earlier era are left out: the store does not confirm them.
+        """
+        if era != self.era or revision < self._pruned_revision or revision == 0:
+            changes = tuple(c for c in self._changes_by_key.values() if c.revision != EARLIER_ERA)
+            return Delta(changes, self.complete_revision, self.age_s(now_s), True, self.era)
         changes = [c for c in self._changes_by_key.values() if c.revision > revision]
         changes += [Change(k, r, None) for k, r in self._tombstones.items() if r > revision]
-        return Delta(tuple(changes), self.complete_revision, self.age_s(now_s), False)
-
-    def _apply_full(self, changes: tuple[Change, ...], revision: int) -> list[Change]:
+        return Delta(tuple(changes), self.complete_revision, self.age_s(now_s), False, self.era)
+
+    def _enter_era(self, era: int, now_s: float) -> None:
+        """Keep all values as those of an earlier era if a copy of a later era arrives."""
+        if era <= self.era:
+            return
+        # The first copy of a new process is of no later era than any before it.
+        self._era_entered_s = now_s if self.has_snapshot else None
+        self.era = era
+        self.complete_revision = 0
+        self.confirmed_s = NEVER_CONFIRMED_S
+        self._pruned_revision = 0
+        self._tombstones.clear()
+        self._earlier_deleted |= self._deleted_versions
+        self._deleted_versions = {}
+        self._changes_by_key = {
+            key: Change(key, EARLIER_ERA, change.value)
+            for key, change in self._changes_by_key.items()
+        }
+
+    def _time_in_era_s(self, requested_s: float) -> float:
+        """Return how long ago this copy entered its era, infinite if it knows no earlier one."""
+        if self._era_entered_s is None:
+            return float("inf")
+        return requested_s - self._era_entered_s
+
+    def _is_outdated(self, change: Change) -> bool:
+        """Return whether a value states an older version than one known from an earlier era."""
+        if change.value is None:
+            return False
+        version = self.document_version(change.key, change.value)
+        known = self._changes_by_key.get(change.key)
+        if known is not None and known.revision != EARLIER_ERA:
+            return False
+        if known is not None:
+            known_version = self.document_version(change.key, known.value)
+            return version is not None and known_version is not None and version < known_version
+        deleted_version = self._earlier_deleted.get(change.key)
+        return version is not None and deleted_version is not None and version <= deleted_version
+
+    def _apply_full(
+        self, changes: tuple[Change, ...], revision: int, requested_s: float
+    ) -> list[Change]:
+        time_in_era_s = self._time_in_era_s(requested_s)
+        if time_in_era_s >= DISTRUST_S:
+            self._earlier_deleted.clear()
         changed = [change for change in changes if self._apply(change)]
         present = {change.key for change in changes}
         # A key written after the read was answered is not in it and is kept.
         missing = [
             c
             for c in self._changes_by_key.values()
-            if c.key not in present and c.revision <= revision
+            if c.key not in present
+            and c.revision <= revision
+            and not (c.revision == EARLIER_ERA and time_in_era_s < LOST_VALUE_HOLD_S)
         ]
         for change in missing:
             deletion = Change(change.key, revision, None)
@@ -136,15 +227,26 @@
     def _apply(self, change: Change) -> bool:
         known = self._changes_by_key.get(change.key)
         known_revision = known.revision if known else self._tombstones.get(change.key, 0)
-        if change.revision <= known_revision:
+        if change.revision <= known_revision or self._is_outdated(change):
             return False
         if change.value is None:
             self._changes_by_key.pop(change.key, None)
             self._add_tombstone(change)
+            if known is not None:
+                self._remember_deleted(known)
             return known is not None
         self._tombstones.pop(change.key, None)
+        self._deleted_versions.pop(change.key, None)
+        self._earlier_deleted.pop(change.key, None)
         self._changes_by_key[change.key] = change
-        return True
+        return known is None or known.value != change.value
+
+    def _remember_deleted(self, change: Change) -> None:
+        version = self.document_version(change.key, change.value)
+        if version is not None:
+            self._deleted_versions[change.key] = version
+        while len(self._deleted_versions) > MAX_TOMBSTONES:
+            del self._deleted_versions[next(iter(self._deleted_versions))]
 
     def _add_tombstone(self, change: Change) -> None:
         self._tombstones[change.key] = change.revision
--- a/daisystack/runtime/mesh_handler.py
+++ b/daisystack/runtime/mesh_handler.py
@@ -30,12 +30,12 @@
         self.mesh_task.apply_news(mine, None)
         return answer
 
-    def mirror(self, prefix: str, after_revision: int) -> ttypes.MirrorDelta:
-        """Return the changes of a mirror after a revision; none for an unknown prefix."""
+    def mirror(self, prefix: str, after_revision: int, era: int) -> ttypes.MirrorDelta:
+        """Return the changes of a mirror after a revision of an era; none for an unknown prefix."""
         for mirror in self.mesh_task.mirrors:
             if mirror.prefix == prefix:
-                return mesh.delta_to_wire(mirror.delta_after(after_revision, now_s()))
-        return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [])
+                return mesh.delta_to_wire(mirror.delta_after(after_revision, now_s(), era))
+        return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [], 0)
 
     def digests(self, model: str, version: int, wait_ms: int) -> list[str]:
         """Return the digests of the pieces of a version; wait for them at most MAX_WAIT_S."""
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -79,8 +79,8 @@
     _rounds: int = 0
     _pushed_s: float = float("-inf")
     _is_push_due: bool = False
-    # Revision of each mirror that is being pulled from a peer, by prefix.
-    _pulled_revisions: dict[str, int] = field(factory=dict)
+    # Era and revision of each mirror that is being pulled from a peer, by prefix.
+    _pulled_positions: dict[str, tuple[int, int]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(self.own.id, self.own.zone)
@@ -140,7 +140,9 @@
         counts = [ttypes.InFlight(k, n) for k, n in self.own_in_flight().items()]
         crashes = [ttypes.CrashCount(*pair) for pair in self.own_crash_counts(at_s)]
         states = [
-            ttypes.MirrorState(m.prefix, m.complete_revision, _optional_age_to_ms(m.age_s(at_s)))
+            ttypes.MirrorState(
+                m.prefix, m.complete_revision, _optional_age_to_ms(m.age_s(at_s)), m.era
+            )
             for m in self.mirrors
         ]
         # An agent's own engine, in case its datagrams are lost.
@@ -217,31 +219,31 @@
             mirror = by_prefix.get(state.prefix)
             if mirror is None:
                 continue
-            if state.complete_revision > mirror.complete_revision:
-                self._start_pull(mirror, state.complete_revision, news.sender.peer_address)
+            if mirror.is_behind(state.era, state.complete_revision):
+                position = (state.era, state.complete_revision)
+                self._start_pull(mirror, position, news.sender.peer_address)
             elif requested_s is not None and state.age_ms >= 0:
                 age_s = state.age_ms / MS_PER_S
-                mirror.apply_confirmation(state.complete_revision, age_s, requested_s)
+                mirror.apply_confirmation(state.complete_revision, age_s, requested_s, state.era)
 
-    def _start_pull(self, mirror: Mirror, revision: int, address: str) -> None:
-        """Pull a peer's newer copy, unless one of at least this revision is being pulled."""
-        pulled = self._pulled_revisions.get(mirror.prefix, 0)
-        if revision > pulled:
-            self._pulled_revisions[mirror.prefix] = revision
-            eventlet.spawn(self._pull, mirror, revision, address)
+    def _start_pull(self, mirror: Mirror, position: tuple[int, int], address: str) -> None:
+        """Pull a peer's newer copy, unless one of at least this position is being pulled."""
+        if position > self._pulled_positions.get(mirror.prefix, (0, 0)):
+            self._pulled_positions[mirror.prefix] = position
+            eventlet.spawn(self._pull, mirror, position, address)
 
-    def _pull(self, mirror: Mirror, revision: int, address: str) -> None:
+    def _pull(self, mirror: Mirror, position: tuple[int, int], address: str) -> None:
         link = mesh_link(address, PEER_TIMEOUT_S)
         requested_s = now_s()
         try:
-            wire = link.call("mirror", mirror.prefix, mirror.complete_revision)
+            wire = link.call("mirror", mirror.prefix, mirror.complete_revision, mirror.era)
         except PeerError as error:
             log_event(_logger, PeerSilent(address, str(error)))
             return
         finally:
             link.close()
-            if self._pulled_revisions.get(mirror.prefix) == revision:
-                del self._pulled_revisions[mirror.prefix]
+            if self._pulled_positions.get(mirror.prefix) == position:
+                del self._pulled_positions[mirror.prefix]
         changes = mirror.apply_delta(mesh.delta_from_wire(wire), requested_s)
         if changes:
             self.on_changes(mirror, changes)
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -13,7 +13,7 @@
 from daisystack.core.mirror import Mirror
 from daisystack.core.readers import BASE_BOUND_S, max_mirror_age_s
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.events import DependencyLost, DependencyRegained
+from daisystack.runtime.events import DependencyLost, DependencyRegained, StoreEraChanged
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.tasks import run_steps
 
@@ -67,15 +67,19 @@
             eventlet.sleep(WATCH_CHECK_INTERVAL_S)
             return
         self.calls += 1
+        era = self.mirror.era
         try:
             events = self.store.watch(
-                self.mirror.prefix, self.mirror.complete_revision, WATCH_TIMEOUT_S
+                self.mirror.prefix,
+                self.mirror.complete_revision,
+                WATCH_TIMEOUT_S,
+                era,
             )
         except BackendError:
             # Reads report a lost store, and reload a mirror whose history the store has dropped.
             eventlet.sleep(WATCH_CHECK_INTERVAL_S)
             return
-        changes = self.mirror.apply_events(events)
+        changes = self.mirror.apply_events(events, era)
         if changes:
             self.on_changes(self.mirror, changes)
         elif events:
@@ -106,7 +110,11 @@
         self._read_latency_s += LATENCY_SMOOTHING * (
             now_s() - snapshot.requested_s - self._read_latency_s
         )
+        era = self.mirror.era
         changes = self.mirror.apply_snapshot(snapshot)
+        if self.mirror.era != era and era:
+            held = len(self.mirror)
+            log_event(_logger, StoreEraChanged(self.mirror.prefix, era, self.mirror.era, held))
         if changes:
             self.on_changes(self.mirror, changes)
 
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -25,6 +25,9 @@
     def upstream_id(self, key):
         return None
 
+    def document_version(self, key, value):
+        return (int(value),)
+
 
 def build_entry():
     addresses = [free_address() for _ in range(6)]
--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -66,9 +66,28 @@
         events = [self.item("op/a", 6), {"key": "op/b", "revision": 7, "deleted": True}]
         body = json.dumps({"events": events, "as_of": 7}).encode()
         server = ScriptedServer([send_and_close(build_answer(body))])
-        changes = KeyValueStore(server.address).watch("op/", 5, 1.0)
+        changes = KeyValueStore(server.address).watch("op/", 5, 1.0, 0)
         self.assertEqual([(c.key, c.value) for c in changes], [("op/a", b"v"), ("op/b", None)])
 
+    def test_the_era_of_the_store_is_part_of_each_answer(self):
+        body = json.dumps({"items": [], "as_of": 5}).encode()
+        snapshot = self.read(send_and_close(build_answer(body, head="Store-Era: 3\r\n")))
+        self.assertEqual((snapshot.era, snapshot.revision), (3, 5))
+        self.assertEqual(self.read(self.page([], 5)).era, 0)
+        with self.assertRaisesRegex(BackendError, "Store-Era: got '-1'"):
+            self.read(send_and_close(build_answer(body, head="Store-Era: -1\r\n")))
+
+    def test_pages_or_a_watch_of_another_era_are_an_error(self):
+        page = json.dumps({"items": [self.item("op/a", 3)], "as_of": 5, "more_pages": True})
+        first = send_and_close(build_answer(page.encode(), head="Store-Era: 3\r\n"))
+        with self.assertRaisesRegex(BackendError, "eras 3 and 0"):
+            self.read(first, self.page([self.item("op/b", 4)], 5))
+        body = json.dumps({"events": [], "as_of": 7}).encode()
+        watch = send_and_close(build_answer(body, head="Store-Era: 4\r\n"))
+        server = ScriptedServer([watch])
+        with self.assertRaisesRegex(BackendError, "got era 4, expected 3"):
+            KeyValueStore(server.address).watch("op/", 5, 0.1, 3)
+
     def test_a_truncated_watch_or_lost_history_is_an_error(self):
         for script in (
             send_and_close(build_answer(b"", "410 Gone")),
@@ -77,7 +96,7 @@
         ):
             server = ScriptedServer([script])
             with self.assertRaises(BackendError):
-                KeyValueStore(server.address).watch("op/", 5, 0.1)
+                KeyValueStore(server.address).watch("op/", 5, 0.1, 0)
 
 
 class TestHeaders(unittest.TestCase):
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -27,11 +27,12 @@
         """
         pass
 
-    def mirror(self, prefix, after_revision):
+    def mirror(self, prefix, after_revision, era):
         """
         Parameters:
          - prefix
          - after_revision
+         - era
 
         """
         pass
@@ -134,21 +135,23 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "gossip failed: unknown result")
 
-    def mirror(self, prefix, after_revision):
+    def mirror(self, prefix, after_revision, era):
         """
         Parameters:
          - prefix
          - after_revision
+         - era
 
         """
-        self.send_mirror(prefix, after_revision)
+        self.send_mirror(prefix, after_revision, era)
         return self.recv_mirror()
 
-    def send_mirror(self, prefix, after_revision):
+    def send_mirror(self, prefix, after_revision, era):
         self._oprot.writeMessageBegin('mirror', TMessageType.CALL, self._seqid)
         args = mirror_args()
         args.prefix = prefix
         args.after_revision = after_revision
+        args.era = era
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -461,7 +464,7 @@
         iprot.readMessageEnd()
         result = mirror_result()
         try:
-            result.success = self._handler.mirror(args.prefix, args.after_revision)
+            result.success = self._handler.mirror(args.prefix, args.after_revision, args.era)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -772,13 +775,15 @@
     Attributes:
      - prefix
      - after_revision
+     - era
 
     """
 
 
-    def __init__(self, prefix=None, after_revision=None,):
+    def __init__(self, prefix=None, after_revision=None, era=None,):
         self.prefix = prefix
         self.after_revision = after_revision
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -799,6 +804,11 @@
                     self.after_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -817,6 +827,10 @@
             oprot.writeFieldBegin('after_revision', TType.I64, 2)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -838,6 +852,7 @@
     None,  # 0
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after_revision', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 
 
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -1129,14 +1129,16 @@
      - prefix
      - complete_revision
      - age_ms
+     - era
 
     """
 
 
-    def __init__(self, prefix=None, complete_revision=None, age_ms=None,):
+    def __init__(self, prefix=None, complete_revision=None, age_ms=None, era=0,):
         self.prefix = prefix
         self.complete_revision = complete_revision
         self.age_ms = age_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1162,6 +1164,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1184,6 +1191,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1754,15 +1765,17 @@
      - age_ms
      - whole
      - items
+     - era
 
     """
 
 
-    def __init__(self, complete_revision=None, age_ms=None, whole=None, items=None,):
+    def __init__(self, complete_revision=None, age_ms=None, whole=None, items=None, era=0,):
         self.complete_revision = complete_revision
         self.age_ms = age_ms
         self.whole = whole
         self.items = items
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1799,6 +1812,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1828,6 +1846,10 @@
                 iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2138,6 +2160,7 @@
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'complete_revision', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
 )
 all_structs.append(TargetNews)
 TargetNews.thrift_spec = (
@@ -2188,6 +2211,7 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.BOOL, 'whole', None, None, ),  # 3
     (4, TType.LIST, 'items', (TType.STRUCT, [MirrorItem, None], False), None, ),  # 4
+    (5, TType.I64, 'era', None, 0, ),  # 5
 )
 all_structs.append(PieceAsk)
 PieceAsk.thrift_spec = (
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -134,7 +134,8 @@
         ttypes.MirrorItem(change.key, change.revision, change.value is None, change.value or b"")
         for change in delta.changes
     ]
-    return ttypes.MirrorDelta(delta.complete_revision, age_to_ms(delta.age_s), delta.is_full, items)
+    age_ms = age_to_ms(delta.age_s)
+    return ttypes.MirrorDelta(delta.complete_revision, age_ms, delta.is_full, items, delta.era)
 
 
 def delta_from_wire(wire: ttypes.MirrorDelta) -> Delta:
@@ -142,4 +143,5 @@
     changes = tuple(
         Change(item.key, item.revision, None if item.deleted else item.value) for item in wire.items
     )
-    return Delta(changes, wire.complete_revision, wire.age_ms / MS_PER_S, wire.whole)
+    age_s = wire.age_ms / MS_PER_S
+    return Delta(changes, wire.complete_revision, age_s, wire.whole, wire.era)
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -99,6 +99,8 @@
   2: i64 complete_revision
   // Time since the store confirmed that it holds nothing newer; -1 means never.
   3: i32 age_ms
+  // Revisions are compared only within an era of the store.
+  4: i64 era = 0
 }
 
 struct TargetNews {
@@ -150,6 +152,7 @@
   2: i32 age_ms
   3: bool whole
   4: list<MirrorItem> items
+  5: i64 era = 0
 }
 
 struct PieceAsk {
@@ -171,7 +174,7 @@
 
 service Peer {
   MeshNews gossip(1: MeshNews mine)
-  MirrorDelta mirror(1: string prefix, 2: i64 after_revision)
+  MirrorDelta mirror(1: string prefix, 2: i64 after_revision, 3: i64 era)
   // Digests of a version's pieces in order, empty if they stay unknown for wait_ms.
   list<string> digests(1: string model, 2: i64 version, 3: i32 wait_ms)
   Piece piece(1: PieceAsk ask)
