Obey upstreams that leave or want a pause, and bound endless answers

An answer without end was taken up to 32 MB and 1xx responses without limit until the deadline (37 MB sent and 2.4 s over a deadline of 1 s in the new test).

Change: UpstreamPauses keeps, per incarnation, what an upstream said of itself; placement asks it for every way of sending. A leaving upstream is a last resort for half of the drain bound and then blocked. If all want a pause, callers are refused at once and told when the first pause ends. Bodies are bounded at 4 MiB, interim responses at eight.

--- a/daisystack/core/direct_request.py
+++ b/daisystack/core/direct_request.py
@@ -54,4 +54,8 @@
     is_stream: bool
     is_encoded: bool
     version: int | None
+    # The upstream accepts no new work for long, as it is about to stop.
+    is_leaving: bool
+    # How long the upstream wants no requests from this instance, as it wrote it.
+    retry_after: str | None
     headers: tuple[tuple[bytes, bytes], ...]
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -13,6 +13,7 @@
 from daisystack.core.engine_latency import EngineLoad, predict_first_event_s, predict_service_time_s
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
 from daisystack.core.traffic import EngineProfile
+from daisystack.core.upstream_pauses import UpstreamPauses
 
 __all__ = [
     "UNRESPONSIVE_PAUSE_S",
@@ -135,6 +136,8 @@
 
     reason: str
     is_full: bool
+    # When an upstream that wanted a pause accepts requests again; None if that is not the cause.
+    retry_after_s: float | None = None
 
 
 @frozen
@@ -163,6 +166,7 @@
     draw: RandomSource
     engines: EngineStatusTable
     profiles: dict[str, EngineProfile] = field(factory=dict)
+    pauses: UpstreamPauses = field(factory=UpstreamPauses)
     _upstreams: dict[str, DirectUpstream] = field(factory=dict)
     _own_requests: dict[str, set[SentRequest]] = field(factory=dict)
     _ended_requests: dict[str, list[_EndedRequest]] = field(factory=dict)
@@ -315,7 +319,7 @@
             u for u in self._upstreams.values() if self._is_eligible(u, requirements, now_s)
         ]
         if not eligible:
-            return Refusal("no upstream is there for it", False)
+            return self._refuse_without_upstream(requirements, now_s)
         preferred = [u for u in eligible if not self._is_avoided(u, now_s)] or eligible
         available = [u for u in preferred if self._has_capacity(u, requirements, now_s)]
         if not available:
@@ -327,6 +331,19 @@
             available, key=lambda u: (self._cost(u, requirements, now_s), self.draw.random())
         )
 
+    def _refuse_without_upstream(
+        self, requirements: PlacementRequirements, now_s: float
+    ) -> Refusal:
+        incarnations = [
+            (u.id, u.started_ms)
+            for u in self._upstreams.values()
+            if u.service == requirements.service and u.is_ready
+        ]
+        end_s = self.pauses.next_end_s(incarnations, now_s)
+        if end_s is None:
+            return Refusal("no upstream is there for it", False)
+        return Refusal("the upstreams want a pause", False, end_s - now_s)
+
     def _is_eligible(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
     ) -> bool:
@@ -334,6 +351,8 @@
             return False
         if upstream.id in requirements.excluded:
             return False
+        if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
+            return False
         if not upstream.has_engine:
             return True
         status = self.engines.get(upstream.address, now_s)
@@ -422,6 +441,8 @@
         health = self._health.get(upstream.id)
         if health is not None and now_s < health.avoid_until_s:
             return True
+        if self.pauses.is_leaving(upstream.id, upstream.started_ms):
+            return True
         return upstream.has_engine and self._is_unresponsive(upstream, now_s)
 
     def is_stuck(self, sent: SentRequest, now_s: float) -> bool:
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -57,6 +57,7 @@
     exact_version: int | None = None
     first_event_sent_s: float | None = None
     _sent: SentRequest | None = None
+    _on_answer: Callable[[DirectAnswer], None] = lambda answer: None
     _last_event_id: bytes | None = None
     _last_event_number: int | None = None
 
@@ -72,9 +73,14 @@
         priority: int | None,
         sent: SentRequest,
         should_abort: Callable[[], bool],
+        on_answer: Callable[[DirectAnswer], None],
     ) -> AttemptResult:
-        """Send the request to an upstream and relay the response until should_abort is true."""
+        """Send the request to an upstream and relay the response until should_abort is true.
+
+        on_answer gets the head of the response, before any of it reaches the caller.
+        """
         self._sent = sent
+        self._on_answer = on_answer
         exchange = DirectExchange(upstream.address, self.deadline_s, should_abort)
         try:
             exchange.connect()
@@ -112,6 +118,7 @@
     def _receive_answer(self, exchange: DirectExchange) -> AttemptResult:
         head = exchange.read_head()
         answer = self.dialect.read_answer(head.status, head.headers)
+        self._on_answer(answer)
         if answer.was_not_run:
             return AttemptResult(
                 AttemptEnd.REFUSED_AT_GATE,
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -19,6 +19,7 @@
 from daisystack.core.placement import Placement
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import CallerLimits
+from daisystack.core.upstream_pauses import UpstreamPauses
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
 from daisystack.runtime.direct_metrics import EntryMetrics, MetricsServer, Sample
@@ -80,9 +81,10 @@
 
     def __attrs_post_init__(self) -> None:
         prefixes = (self.operator_prefix, self.upstream_prefix)
-        self.mirrors = {prefix: Mirror(prefix) for prefix in prefixes}
+        self.mirrors = {prefix: Mirror(prefix, self.reader.document_version) for prefix in prefixes}
         engines = EngineStatusTable()
-        self.placement = Placement(random.SystemRandom(), engines)
+        pauses = UpstreamPauses(self.settings.publication_bound_s)
+        self.placement = Placement(random.SystemRandom(), engines, pauses=pauses)
         self.published = PublishedState(self.reader, self.placement)
         hold = CrashHold()
         self.mesh = MeshTask(
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -21,7 +21,10 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
-MAX_BODY_BYTES = 32 * 1024 * 1024
+# Held in memory until the answer is complete, for each of many requests at a time.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# An upstream that goes on sending them never answers.
+MAX_INTERIM_RESPONSES = 8
 # Several round trips between the farthest zones; connecting takes seconds if the upstream's
 # accept queue is full.
 CONNECT_TIMEOUT_S = 0.4
@@ -93,12 +96,15 @@
 
     def read_head(self) -> AnswerHead:
         """Return the response's status and headers; raise AttemptFailed if none arrive."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = self._next_event(AttemptEnd.NO_ANSWER)
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise AttemptFailed(AttemptEnd.NO_ANSWER, "closed without an answer")
+        raise AttemptFailed(
+            AttemptEnd.NO_ANSWER, f"got more than {MAX_INTERIM_RESPONSES} interim responses"
+        )
 
     def iter_body(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raise AttemptFailed if it is truncated."""
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -13,7 +13,7 @@
 
 from daisystack.backends import RequestDialect
 from daisystack.core.crash_hold import CrashHold, Suspicion
-from daisystack.core.direct_request import DirectRequest, InvalidRequest
+from daisystack.core.direct_request import DirectAnswer, DirectRequest, InvalidRequest
 from daisystack.core.mirror import Mirror
 from daisystack.core.placement import (
     UNRESPONSIVE_PAUSE_S,
@@ -33,12 +33,19 @@
 from daisystack.core.retries import ServiceBudgets
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
+from daisystack.core.upstream_pauses import parse_pause_s
 from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.caller_http import CallerGone, InboundRequest, Responder
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_attempt import AttemptResult, AttemptRunner
 from daisystack.runtime.direct_http import is_listening
-from daisystack.runtime.events import AttemptEnded, DirectRequestEnded
+from daisystack.runtime.events import (
+    AttemptEnded,
+    DirectRequestEnded,
+    UpstreamLeaving,
+    UpstreamNoticeIgnored,
+    UpstreamPaused,
+)
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.published import PublishedState
 from daisystack.runtime.request_summary import RequestSummary
@@ -54,6 +61,8 @@
 # would all find them full again, so the delay is drawn at random.
 RETRY_AFTER_FULL_MIN_S = 0.3
 RETRY_AFTER_FULL_MAX_S = 0.9
+# Callers that wait for the end of the same pause return one after another.
+RETRY_AFTER_PAUSE_SPREAD_S = 0.5
 # Missing configuration or upstreams return after a few gossip rounds or one engine load.
 RETRY_AFTER_UNAVAILABLE_S = 1.0
 # Attempts end this long before the deadline, so that the response reaches the caller in time.
@@ -310,6 +319,7 @@
                 self._priority(workspace, context.route),
                 sent,
                 lambda: self._should_abort(context, sent),
+                lambda answer: self._record_notices(upstream, answer),
             )
         finally:
             self.placement.end(sent, now_s())
@@ -332,6 +342,22 @@
             log_event(_logger, event)
         return AttemptOutcome(result.end, upstream.id, reason=result.reason)
 
+    def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
+        """Record what an upstream says of itself in the head of a response."""
+        at_s = now_s()
+        pauses = self.placement.pauses
+        if answer.is_leaving and pauses.record_leaving(upstream.id, upstream.started_ms, at_s):
+            log_event(_logger, UpstreamLeaving(upstream.id, upstream.started_ms))
+        if answer.retry_after is None:
+            return
+        try:
+            pause_s = parse_pause_s(answer.retry_after)
+        except ValueError as error:
+            log_event(_logger, UpstreamNoticeIgnored(upstream.id, f"Retry-After: {error}"))
+            return
+        pauses.record_pause(upstream.id, upstream.started_ms, pause_s, at_s)
+        log_event(_logger, UpstreamPaused(upstream.id, upstream.started_ms, pause_s))
+
     def _priority(self, workspace: Workspace | None, route: Route) -> int:
         if workspace is not None and workspace.priority is not None:
             return workspace.priority
@@ -376,6 +402,8 @@
 
     def _retry_after_s(self, refusal: Refusal) -> float:
         # Randomized, so that callers refused together don't retry together.
+        if refusal.retry_after_s is not None:
+            return refusal.retry_after_s + self._rng.uniform(0.0, RETRY_AFTER_PAUSE_SPREAD_S)
         if not refusal.is_full:
             return RETRY_AFTER_UNAVAILABLE_S
         return self._rng.uniform(RETRY_AFTER_FULL_MIN_S, RETRY_AFTER_FULL_MAX_S)
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -29,10 +29,14 @@
     "ServiceReadFailed",
     "SettingsKept",
     "SettingsReloaded",
+    "StoreEraChanged",
     "TargetTaken",
     "TargetTold",
     "UpstreamChanged",
     "UpstreamGone",
+    "UpstreamLeaving",
+    "UpstreamNoticeIgnored",
+    "UpstreamPaused",
     "WeightSourceFailed",
     "WeightsHeld",
     "WeightsStaged",
@@ -146,6 +150,16 @@
     belief_age_s: float
 
 
+@frozen
+class StoreEraChanged:
+    """The store came back from an older copy; held_count values are kept until it confirms them."""
+
+    prefix: str
+    era_before: int
+    era: int
+    held_count: int
+
+
 @frozen
 class PeerSilent:
     """A peer does not answer."""
@@ -209,6 +223,31 @@
     revision: int
 
 
+@frozen
+class UpstreamLeaving:
+    """An upstream said in a response that it leaves; it gets no more requests."""
+
+    upstream: str
+    started_ms: int
+
+
+@frozen
+class UpstreamPaused:
+    """An upstream asked for a pause, during which it gets no requests."""
+
+    upstream: str
+    started_ms: int
+    pause_s: float
+
+
+@frozen
+class UpstreamNoticeIgnored:
+    """An upstream sent a header that can't be understood."""
+
+    upstream: str
+    reason: str
+
+
 @frozen
 class PublicationIgnored:
     """A published value was ignored because it can't be decoded, so nothing it names is used."""
--- a/daisystack/testing/direct.py
+++ b/daisystack/testing/direct.py
@@ -39,6 +39,8 @@
 MARK = b"daisystack-mark"
 NOT_RUN = b"daisystack-not-run"
 VERSION = b"daisystack-version"
+LEAVING = b"daisystack-leaving"
+RETRY_AFTER = b"daisystack-retry-after"
 
 
 @frozen
@@ -91,6 +93,8 @@
             is_stream=fields.get(b"content-type") == b"text/event-stream",
             is_encoded=b"content-encoding" in fields,
             version=int(version) if version else None,
+            is_leaving=LEAVING in fields,
+            retry_after=fields[RETRY_AFTER].decode() if RETRY_AFTER in fields else None,
             headers=tuple(h for h in headers if h[0] == MARK),
         )
 
