--- a/daisystack/core/membership.py
+++ b/daisystack/core/membership.py
@@ -28,6 +28,9 @@
 SUSPECT_AFTER_REMOTE_S = 3.2
 # In a zone with at most this many other entries, each hears from each other one every round or two.
 MAX_DIRECT_PEERS = 4
+# In a large zone the next exchange with a process may take long, so one that others hear from is
+# tried again after this time.
+UNREACHABLE_FOR_S = 3.0
 FORGET_AFTER_S = 30.0
 # Entries of a zone that are made known to other zones: enough for callers and for transfers when a
 # few of them are lost.
@@ -90,8 +93,8 @@
     # Orders the entries of a zone as its contacts for other zones.
     contact_rank: float
     last_heartbeat_s: float
-    # The latest request from this process went unanswered, whatever its peers report.
-    is_unreachable: bool = False
+    # When the latest request from this process went unanswered, whatever its peers report.
+    unreachable_since_s: float | None = None
 
 
 @define
@@ -119,14 +122,14 @@
         if record is not None and not _is_newer(member, record, sent_s):
             return
         is_same_incarnation = record is not None and record.member.incarnation == member.incarnation
-        is_unreachable = is_same_incarnation and record.is_unreachable
+        unreachable_since_s = record.unreachable_since_s if is_same_incarnation else None
         if record is not None:
             self._ids_by_digest.pop(record.digest, None)
         digest = state_digest(member)
         contact_rank = hash_to_unit_interval(CONTACT_DUTY, member.id)
         self._ids_by_digest[digest] = member.id
         self._records[member.id] = _MemberRecord(
-            member, member.beat, digest, contact_rank, sent_s, is_unreachable
+            member, member.beat, digest, contact_rank, sent_s, unreachable_since_s
         )
 
     def apply_heartbeats(self, heartbeats: Iterable[Heartbeat], now_s: float) -> None:
@@ -139,15 +142,15 @@
                 record.beat = heartbeat.beat
                 record.last_heartbeat_s = now_s - heartbeat.age_s
 
-    def mark_unreachable(self, member_id: str) -> None:
+    def mark_unreachable(self, member_id: str, now_s: float) -> None:
         """Record that a process did not answer a request."""
         if member_id in self._records:
-            self._records[member_id].is_unreachable = True
+            self._records[member_id].unreachable_since_s = now_s
 
     def mark_reachable(self, member_id: str) -> None:
-        """Record that a process answered a request."""
+        """Record that a process answered a request or sent one."""
         if member_id in self._records:
-            self._records[member_id].is_unreachable = False
+            self._records[member_id].unreachable_since_s = None
 
     def shift_times(self, gap_s: float) -> None:
         """Shift all times by a pause of this process, in which no update could be received."""
@@ -218,7 +221,10 @@
     def _is_live(self, record: _MemberRecord, times: _SuspicionTimes, now_s: float) -> bool:
         is_own_zone = record.member.zone == self.own_zone
         suspect_after_s = times.own_zone_s if is_own_zone else times.other_zones_s
-        return not record.is_unreachable and now_s - record.last_heartbeat_s <= suspect_after_s
+        since_s = record.unreachable_since_s
+        if since_s is not None and now_s - since_s <= UNREACHABLE_FOR_S:
+            return False
+        return now_s - record.last_heartbeat_s <= suspect_after_s
 
     def _suspicion_times(self) -> _SuspicionTimes:
         if self._count_own_zone() <= MAX_DIRECT_PEERS:
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -104,7 +104,7 @@
             lambda: self.mesh.live_entries(now_s()),
             self.find_origin,
             self.published.targets,
-            lambda member_id: self.mesh.membership.mark_unreachable(member_id),
+            lambda member_id: self.mesh.membership.mark_unreachable(member_id, now_s()),
             self._serving_agents,
             self._origin_connections,
         )
--- a/daisystack/runtime/engine_datagrams.py
+++ b/daisystack/runtime/engine_datagrams.py
@@ -15,11 +15,12 @@
 
 from daisystack.core.addresses import Address, parse_address
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
+from daisystack.core.gossip_peers import RELAY_DUTY, RELAYS_PER_ZONE
 from daisystack.core.membership import Member
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import PeerSilent
 from daisystack.runtime.logs import log_event
-from daisystack.runtime.mesh_task import RELAY_DUTY, RELAYS_PER_ZONE, MeshTask
+from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.tasks import run_steps
 from daisystack.wire import mesh
 from daisystack.wire.gen import ttypes
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 
 from daisystack.core.engine_status import EngineStatusTable
+from daisystack.core.gossip_peers import choose_push_peers, choose_round_peers
 from daisystack.core.membership import Heartbeat, Member, MemberRole, Membership
 from daisystack.core.mirror import Mirror
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
@@ -26,10 +27,6 @@
 
 # Three rounds fit into the time after which an unresponsive process is suspected.
 ROUND_INTERVAL_S = 0.4
-# Each entry hears from twice as many peers a round, as it is also contacted by others.
-IN_ZONE_FANOUT = 2
-# Entries of a zone that exchange news with other zones; the second covers for a failed first one.
-RELAYS_PER_ZONE = 2
 # A burst of changes, as when all engines load a version, is passed on in batches.
 MIN_PUSH_INTERVAL_S = 0.1
 # A peer that does not answer within this time is tried again in a later round.
@@ -37,7 +34,6 @@
 # A longer gap between two checks means that this process was paused, not that its peers were
 # unresponsive.
 MIN_PAUSE_S = 1.2
-RELAY_DUTY = "relay"
 # A seed's zone is not known before it answers.
 UNKNOWN_ZONE = ""
 MS_PER_S = 1000
@@ -193,6 +189,8 @@
         for member, age_s in updates:
             self.membership.apply_update(member, age_s, at_s)
         self.membership.apply_heartbeats(heartbeats, at_s)
+        # A connection in either direction shows that both are open.
+        self.membership.mark_reachable(news.sender.id)
         for size in news.zones or ():
             self.membership.apply_zone_size(size.zone, size.entries, size.age_ms / MS_PER_S, at_s)
         sender = news.sender
@@ -252,14 +250,18 @@
     def _round(self) -> None:
         self._compensate_pause(now_s())
         self._rounds += 1
-        self._exchange_with_all(self._choose_peers(now_s()))
+        at_s = now_s()
+        peers = choose_round_peers(self.own, self.membership, self._rounds, random, at_s)
+        self._exchange_with_all(self._add_seed({m.peer_address: m.zone for m in peers}))
         eventlet.sleep(ROUND_INTERVAL_S * random.uniform(0.85, 1.15))
 
     def _push(self) -> None:
         self._is_push_due = False
         at_s = now_s()
         self._pushed_s = at_s
-        self._exchange_with_all(self._choose_push_peers(at_s))
+        self._compensate_pause(at_s)
+        peers = choose_push_peers(self.own, self.membership, random, at_s)
+        self._exchange_with_all({m.peer_address: m.zone for m in peers})
 
     def _exchange_with_all(self, peers: dict[str, str]) -> None:
         self.own = attrs.evolve(self.own, beat=self.own.beat + 1)
@@ -268,44 +270,14 @@
                 self._exchanging.add(address)
                 eventlet.spawn(self._exchange_with, address, zone)
 
-    def _choose_peers(self, at_s: float) -> dict[str, str]:
-        """Return the addresses of the peers of a round, with their zones."""
-        entries = self.membership.members(MemberRole.ENTRY)
-        in_zone = [m for m in entries if m.zone == self.own.zone]
-        others = [m for m in entries if m.zone != self.own.zone]
-        if self.own.role is MemberRole.AGENT:
-            # An agent's link is slow, and one entry forwards its news to the others.
-            chosen = _sample(in_zone or others, 1)
-        else:
-            chosen = _sample(in_zone, IN_ZONE_FANOUT)
-            if self.rank_in_zone(RELAY_DUTY, at_s) < RELAYS_PER_ZONE or not in_zone:
-                chosen += self._choose_in_next_zone(others)
-        return self._add_seed({m.peer_address: m.zone for m in chosen}, entries)
-
-    def _choose_push_peers(self, at_s: float) -> dict[str, str]:
-        """Return the peers that get a change at once: some of the zone, its relays, other zones."""
-        live = self.live_entries(at_s)
-        in_zone = [m for m in live if m.zone == self.own.zone]
-        if self.own.role is MemberRole.AGENT:
-            return {m.peer_address: m.zone for m in _sample(in_zone or live, 1)}
-        relays = self.membership.zone_ranking(RELAY_DUTY, at_s)[:RELAYS_PER_ZONE]
-        chosen = _sample(in_zone, IN_ZONE_FANOUT) + [m for m in in_zone if m.id in relays]
-        if self.own.id in relays:
-            by_zone = _group_by_zone([m for m in live if m.zone != self.own.zone])
-            chosen += [random.choice(members) for members in by_zone.values()]
-        return {m.peer_address: m.zone for m in chosen}
-
-    def _choose_in_next_zone(self, others: list[Member]) -> list[Member]:
-        """Return a member of the next other zone, so that each gets a turn."""
-        by_zone = _group_by_zone(others)
-        zones = sorted(by_zone)
-        return _sample(by_zone[zones[self._rounds % len(zones)]], 1) if zones else []
-
-    def _add_seed(self, peers: dict[str, str], entries: list[Member]) -> dict[str, str]:
-        known_addresses = {m.peer_address for m in entries} | {self.own.peer_address}
+    def _add_seed(self, peers: dict[str, str]) -> dict[str, str]:
+        known_addresses = {m.peer_address for m in self.membership.members(MemberRole.ENTRY)}
+        known_addresses.add(self.own.peer_address)
         # After a partition, a seed that is not a known entry may be the only path to the others.
         unknown_seeds = [seed for seed in self.seeds if seed not in known_addresses]
-        return peers | {seed: UNKNOWN_ZONE for seed in _sample(unknown_seeds, 1)}
+        if not unknown_seeds:
+            return peers
+        return peers | {random.choice(unknown_seeds): UNKNOWN_ZONE}
 
     def _exchange_with(self, address: str, zone: str) -> None:
         link = self._links.setdefault(address, mesh_link(address, PEER_TIMEOUT_S))
@@ -318,7 +290,6 @@
         else:
             self._record_answer(address, now_s() - requested_s)
             run_logged("news", self.apply_news, answer, requested_s)
-            self.membership.mark_reachable(answer.sender.id)
         finally:
             self._exchanging.discard(address)
 
@@ -326,7 +297,7 @@
         self._links.pop(address, None)
         for member in self.membership.members(MemberRole.ENTRY):
             if member.peer_address == address:
-                self.membership.mark_unreachable(member.id)
+                self.membership.mark_unreachable(member.id, now_s())
         if self._reachable.get(address, True):
             log_event(_logger, PeerSilent(address, error))
         self._reachable[address] = False
@@ -345,14 +316,3 @@
 
 def _optional_age_to_ms(age_s: float) -> int:
     return -1 if age_s == float("inf") else mesh.age_to_ms(age_s)
-
-
-def _sample(items: list, count: int) -> list:
-    return random.sample(items, min(count, len(items)))
-
-
-def _group_by_zone(members: list[Member]) -> dict[str, list[Member]]:
-    by_zone: dict[str, list[Member]] = {}
-    for member in members:
-        by_zone.setdefault(member.zone, []).append(member)
-    return by_zone
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -332,7 +332,7 @@
             body = self._request_piece(link, pieces, index)
         except PeerError as error:
             log_event(_logger, WeightSourceFailed(member.id, str(error)))
-            self.mesh.membership.mark_unreachable(member.id)
+            self.mesh.membership.mark_unreachable(member.id, now_s())
             return False
         self.pulled_bytes += len(body or b"")
         if body is None:
--- a/daisystack/tests/test_membership.py
+++ b/daisystack/tests/test_membership.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from daisystack.core.membership import Member, MemberRole, Membership, usable_entries
+from daisystack.core.membership import (
+    UNREACHABLE_FOR_S,
+    Member,
+    MemberRole,
+    Membership,
+    usable_entries,
+)
 from daisystack.core.readers import max_mirror_age_s
 from daisystack.core.retries import WindowedBudget
 
@@ -36,16 +42,25 @@
     def test_unreachable_member_stays_down_despite_updates_through_peers(self):
         membership = Membership("me")
         membership.apply_update(build_member(beat=1), 0.0, 10.0)
-        membership.mark_unreachable("e1")
+        membership.mark_unreachable("e1", 10.0)
         membership.apply_update(build_member(beat=2), 0.0, 10.4)
         self.assertEqual(membership.live(MemberRole.ENTRY, 10.4), [])
         membership.mark_reachable("e1")
         self.assertEqual(len(membership.live(MemberRole.ENTRY, 10.4)), 1)
 
+    def test_unreachable_member_that_others_hear_from_is_tried_again(self):
+        """In a large zone the next exchange with it may be far away."""
+        membership = Membership("me")
+        membership.apply_update(build_member(beat=1), 0.0, 10.0)
+        membership.mark_unreachable("e1", 10.0)
+        membership.apply_update(build_member(beat=9), 0.0, 10.0 + UNREACHABLE_FOR_S)
+        self.assertEqual(membership.live(MemberRole.ENTRY, 10.0 + UNREACHABLE_FOR_S), [])
+        self.assertEqual(len(membership.live(MemberRole.ENTRY, 10.1 + UNREACHABLE_FOR_S)), 1)
+
     def test_new_incarnation_is_not_marked_unreachable(self):
         membership = Membership("me")
         membership.apply_update(build_member(beat=9), 0.0, 10.0)
-        membership.mark_unreachable("e1")
+        membership.mark_unreachable("e1", 10.0)
         membership.apply_update(build_member(beat=1, incarnation="i2"), 0.0, 11.0)
         self.assertEqual(len(membership.live(MemberRole.ENTRY, 11.0)), 1)
 
