Predict latency with the pace that an engine reports

Change: the pace is part of an engine's status and scales predicted passes and prefills; work goes elsewhere, or is refused at once if it would be late. Tests: TestSlowEngines (pattern: engines that turn slow), failed before for want of the field.

--- a/daisystack/core/engine_latency.py
+++ b/daisystack/core/engine_latency.py
@@ -24,6 +24,8 @@
     slots: int
     requests: int
     pending_prompt_tokens: int
+    # How many times as long as in its profile the engine takes now.
+    slowdown: float = 1.0
 
 
 def predict_pass_s(profile: EngineProfile, load: EngineLoad) -> float:
@@ -32,7 +34,7 @@
     context_tokens = running * profile.typical_prompt_tokens
     step_s = profile.step_s + profile.step_per_sequence_s * running
     step_s += profile.step_per_context_token_s * context_tokens
-    return profile.steps_per_pass * step_s
+    return profile.steps_per_pass * step_s * load.slowdown
 
 
 def predict_service_time_s(
@@ -47,7 +49,7 @@
 def predict_first_event_s(profile: EngineProfile, load: EngineLoad, prompt_tokens: int) -> float:
     """Return the time from a request's arrival at an engine to its first event."""
     pass_s = predict_pass_s(profile, load)
-    prefill_s = _prefill_s(profile, load.pending_prompt_tokens + prompt_tokens)
+    prefill_s = _prefill_s(profile, load.pending_prompt_tokens + prompt_tokens) * load.slowdown
     expected_s = NETWORK_OVERHEAD_S + ARRIVAL_PASSES * pass_s + pass_s + prefill_s
     ahead = load.requests + UNREPORTED_REQUESTS - load.slots
     if ahead > 0:
--- a/daisystack/core/engine_status.py
+++ b/daisystack/core/engine_status.py
@@ -33,6 +33,8 @@
     read_s: float
     # When the engine is expected to load other weights, on the local clock.
     loads_at_s: float | None = None
+    # How many times as long as in its profile the engine takes.
+    slowdown: float = 1.0
 
 
 @define
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -295,7 +295,8 @@
             # Queued requests beyond those of this entry were sent by other entries.
             tokens += max(0, status.queued - reported) * profile.typical_prompt_tokens
         requests = self.in_flight(upstream.id, now_s)
-        return EngineLoad(upstream.slots, requests, tokens)
+        slowdown = status.slowdown if status is not None else 1.0
+        return EngineLoad(upstream.slots, requests, tokens, slowdown)
 
     def _fresh_status(self, upstream_id: str, now_s: float) -> EngineStatus | None:
         upstream = self._upstreams.get(upstream_id)
--- a/daisystack/core/weight_pieces.py
+++ b/daisystack/core/weight_pieces.py
@@ -60,6 +60,8 @@
     running: int
     queued: int
     started_ms: int
+    # How many times as long as in its profile the engine takes.
+    slowdown: float = 1.0
 
 
 @frozen
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -194,6 +194,7 @@
             queued=state.queued,
             read_s=read_s,
             loads_at_s=self._loads_at_s(read_s),
+            slowdown=state.slowdown,
         )
         self.mesh.engines.update(status)
         if self._pacer.is_due(status):
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -107,6 +107,25 @@
         self.assertLessEqual(max(counts.values()), 2 * 24 / 6)
 
 
+class TestSlowEngines(unittest.TestCase):
+    """Engines that turn slow: their agents report it, and work goes elsewhere before it is late."""
+
+    def build(self, slowdown):
+        placement = build_placement(build_engine("slow"), build_engine("normal"))
+        placement.engines.update(build_engine_status("slow", 0.0, slowdown=slowdown))
+        placement.engines.update(build_engine_status("normal", 0.0, running=8))
+        return placement
+
+    def test_a_slow_engine_gets_a_prompt_only_if_its_answer_is_sooner(self):
+        self.assertEqual(self.build(1.0).choose(PROMPT, 0.1).id, "slow")
+        self.assertEqual(self.build(4.0).choose(PROMPT, 0.1).id, "normal")
+
+    def test_prompts_that_a_slow_engine_would_answer_late_are_refused_at_once(self):
+        placement = build_placement(build_engine("slow"))
+        placement.engines.update(build_engine_status("slow", 0.0, slowdown=8.0))
+        self.assertIsInstance(placement.choose(PROMPT, 0.1), Refusal)
+
+
 class TestOverload(unittest.TestCase):
     def test_a_request_predicted_to_be_late_is_refused_at_once(self):
         """Sudden burst: full engines refuse requests rather than queue them past the objective."""
--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -183,6 +183,20 @@
                     (decoded.was_not_run, decoded.is_genuine), (was_not_run, is_genuine)
                 )
 
+    def test_responses_report_that_the_upstream_leaves_or_wants_a_pause(self):
+        cases = [
+            (200, ((b"server-leaving", b"1"),), True, None),
+            (503, ((b"server-leaving", b" 1 "), (b"retry-after", b"2")), True, "2"),
+            (503, ((b"retry-after", b"soon"),), False, "soon"),
+            # Only a 503 asks for a pause.
+            (429, ((b"retry-after", b"2"),), False, None),
+            (200, ((b"server-leaving", b"0"),), False, None),
+        ]
+        for status, headers, is_leaving, retry_after in cases:
+            with self.subTest(status=status, headers=headers):
+                answer = HeaderDialect().read_answer(status, headers)
+                self.assertEqual((answer.is_leaving, answer.retry_after), (is_leaving, retry_after))
+
 
 class TestRunner(unittest.TestCase):
     def call(self, script, action):
@@ -194,11 +208,12 @@
 
     def test_a_report_is_decoded(self):
         report = {"models": SERVER["models"], "layers": SERVER["layers"], "busy": False, "seq": 2}
-        report |= {"running": 12, "queued": 1, "born": 5}
+        report |= {"running": 12, "queued": 1, "born": 5, "pace": 3.5}
         state = self.call(
             send_and_close(build_answer(json.dumps(report).encode())), lambda r: r.state()
         )
         self.assertEqual((state.version, state.order_count, state.running), (3, 2, 12))
+        self.assertEqual(state.slowdown, 3.5)
 
     def test_an_invalid_report_is_an_error(self):
         for body in (b"", b"[]", b'{"seq": "2"}', b'{"seq": 2, "busy": 1}'):
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -990,11 +990,12 @@
      - queued
      - age_ms
      - loads_in_ms
+     - slowdown
 
     """
 
 
-    def __init__(self, address=None, born_ms=None, version=None, whole=None, loading=None, running=None, queued=None, age_ms=None, loads_in_ms=None,):
+    def __init__(self, address=None, born_ms=None, version=None, whole=None, loading=None, running=None, queued=None, age_ms=None, loads_in_ms=None, slowdown=1.0000000000000000,):
         self.address = address
         self.born_ms = born_ms
         self.version = version
@@ -1004,6 +1005,7 @@
         self.queued = queued
         self.age_ms = age_ms
         self.loads_in_ms = loads_in_ms
+        self.slowdown = slowdown
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1059,6 +1061,11 @@
                     self.loads_in_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.slowdown = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1105,6 +1112,10 @@
             oprot.writeFieldBegin('loads_in_ms', TType.I32, 9)
             oprot.writeI32(self.loads_in_ms)
             oprot.writeFieldEnd()
+        if self.slowdown is not None:
+            oprot.writeFieldBegin('slowdown', TType.DOUBLE, 10)
+            oprot.writeDouble(self.slowdown)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2153,6 +2164,7 @@
     (7, TType.I32, 'queued', None, None, ),  # 7
     (8, TType.I32, 'age_ms', None, None, ),  # 8
     (9, TType.I32, 'loads_in_ms', None, None, ),  # 9
+    (10, TType.DOUBLE, 'slowdown', None, 1.0000000000000000, ),  # 10
 )
 all_structs.append(MirrorState)
 MirrorState.thrift_spec = (
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -104,6 +104,7 @@
         queued=status.queued,
         age_ms=age_to_ms(now_s - status.read_s),
         loads_in_ms=_loads_in_ms(status, now_s),
+        slowdown=status.slowdown,
     )
 
 
@@ -119,6 +120,7 @@
         queued=wire.queued,
         read_s=now_s - wire.age_ms / MS_PER_S,
         loads_at_s=now_s + wire.loads_in_ms / MS_PER_S if wire.loads_in_ms >= 0 else None,
+        slowdown=wire.slowdown,
     )
 
 
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -91,6 +91,8 @@
   8: i32 age_ms
   // Time until the engine is expected to load other weights; -1 if no load is expected.
   9: i32 loads_in_ms
+  // How many times as long as in its profile the engine takes.
+  10: double slowdown = 1.0
 }
 
 // State of a mirror of published keys; complete_revision 0 means that it is empty so far.
