--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -8,11 +8,12 @@
 from functools import partial
 from statistics import mean
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from benchmarks.model_engine import Clock, ModelEngine, Request, capacity_per_s
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
 from daisystack.core.placement import DirectUpstream, Placement, PlacementRequirements, Refusal
+from daisystack.core.traffic import EngineProfile
 from daisystack.testing.direct import build_engine_profile
 
 DURATION_S = 30.0
@@ -34,6 +35,30 @@
 LARGEST_PROMPTS_SHARE = 0.1
 
 
+@frozen
+class Deployment:
+    """Numbers of entries and engines, and what one engine can do."""
+
+    entries: int = ENTRIES
+    engines: int = ENGINES
+    slots: int = 16
+    objective_s: float = OBJECTIVE_S
+    profile: EngineProfile = field(factory=build_engine_profile)
+
+
+# Many engines with few slots each, as on the users' large site, at a third of its size.
+LARGE = Deployment(
+    entries=33,
+    engines=18,
+    slots=8,
+    objective_s=0.55,
+    profile=build_engine_profile(
+        step_s=0.0101, prefill_tokens_per_s=20_400.0, steps_per_pass=7, typical_answer_tokens=91
+    ),
+)
+DEPLOYMENTS = {"small": Deployment(), "large": LARGE}
+
+
 @define(eq=False)
 class Simulation:
     """Engines, each entry's view of them, and all requests of one run."""
@@ -42,7 +67,7 @@
     load: float
     policy: str
     fault: Callable[[Simulation], None] = lambda simulation: None
-    entries: int = ENTRIES
+    deployment: Deployment = field(factory=Deployment)
     clock: Clock = field(factory=Clock)
     engines: list[ModelEngine] = field(factory=list)
     views: list[Placement] = field(factory=list)
@@ -53,12 +78,13 @@
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self._next_engines = [0] * self.entries
-        profile = build_engine_profile()
-        for index in range(ENGINES):
+        self._next_engines = [0] * self.deployment.entries
+        profile = self.deployment.profile
+        for index in range(self.deployment.engines):
             zone = ZONES[index % len(ZONES)]
-            self.engines.append(ModelEngine(f"u{index}", zone, profile, self.clock))
-        for index in range(self.entries):
+            engine = ModelEngine(f"u{index}", zone, profile, self.clock, self.deployment.slots)
+            self.engines.append(engine)
+        for index in range(self.deployment.entries):
             view = Placement(random.Random(index), EngineStatusTable(), {"llm": profile})
             for engine in self.engines:
                 view.update_upstream(_build_upstream(engine))
@@ -66,7 +92,9 @@
 
     def run(self) -> None:
         """Schedule arrivals, reports, gossip and the fault, and run the clock."""
-        rate = self.load * ENGINES * capacity_per_s(build_engine_profile(), self.engines[0].slots)
+        deployment = self.deployment
+        per_engine = capacity_per_s(deployment.profile, deployment.slots)
+        rate = self.load * deployment.engines * per_engine
         at_s = 0.0
         while at_s < DURATION_S:
             at_s += self.rng.expovariate(rate)
@@ -79,8 +107,8 @@
         self.clock.run(DURATION_S + 10.0)
 
     def _arrive(self) -> None:
-        profile = build_engine_profile()
-        entry = self.rng.randrange(self.entries)
+        profile = self.deployment.profile
+        entry = self.rng.randrange(self.deployment.entries)
         prompt = int(self.rng.gammavariate(2.0, profile.typical_prompt_tokens / 2)) + 1
         answer = int(self.rng.gammavariate(2.0, profile.typical_answer_tokens / 2)) + 1
         zone = ZONES[entry % len(ZONES)]
@@ -100,11 +128,12 @@
             sent.last_received_s = now_s
             if request.first_event_s is None:
                 request.first_event_s = now_s
-            paused[0] = paused[0] or now_s - last_event_s[0] > MAX_PAUSE_S + OBJECTIVE_S
+            max_pause_s = MAX_PAUSE_S + self.deployment.objective_s
+            paused[0] = paused[0] or now_s - last_event_s[0] > max_pause_s
             last_event_s[0] = now_s
             if is_last:
                 view.end(sent, now_s)
-                in_time = request.first_event_s - request.arrived_s <= OBJECTIVE_S
+                in_time = request.first_event_s - request.arrived_s <= self.deployment.objective_s
                 self.met_objective[request] = in_time and not paused[0]
 
         request.on_event = on_event
@@ -149,7 +178,7 @@
         request.zone,
         prompt_tokens=request.prompt_tokens,
         answer_tokens=0,
-        first_event_time_left_s=OBJECTIVE_S,
+        first_event_time_left_s=simulation.deployment.objective_s,
     )
     chosen = simulation.views[request.entry].choose(requirements, simulation.clock.now_s)
     if isinstance(chosen, Refusal):
@@ -177,7 +206,8 @@
 
 def _choose_round_robin(simulation: Simulation, request: Request) -> ModelEngine:
     simulation._next_engines[request.entry] += 1
-    return simulation.engines[(simulation._next_engines[request.entry] + request.entry) % ENGINES]
+    position = simulation._next_engines[request.entry] + request.entry
+    return simulation.engines[position % len(simulation.engines)]
 
 
 POLICIES = {
@@ -209,11 +239,11 @@
 
 
 def _format_results(
-    policy: str, load: float, fault: Callable[[Simulation], None], entries: int
+    policy: str, load: float, fault: Callable[[Simulation], None], deployment: Deployment
 ) -> str:
     goodputs, largest, refused, late = [], [], [], []
     for seed in SEEDS:
-        simulation = Simulation(seed, load, policy, fault, entries)
+        simulation = Simulation(seed, load, policy, fault, deployment)
         simulation.run()
         requests = [request for request in simulation.requests if request.arrived_s >= WARM_UP_S]
         sizes = sorted(request.prompt_tokens for request in requests)
@@ -235,12 +265,12 @@
 
 def main() -> None:
     """Print each policy's results for each load and fault."""
-    entries = int(sys.argv[1]) if len(sys.argv) > 1 else ENTRIES
+    deployment = DEPLOYMENTS[sys.argv[1] if len(sys.argv) > 1 else "small"]
     for name, fault in FAULTS.items():
         for load in LOADS:
             for policy in POLICIES:
                 print(f"{name:15} load {load:.1f}  {policy:17} ", end="")
-                print(_format_results(policy, load, fault, entries))
+                print(_format_results(policy, load, fault, deployment))
 
 
 if __name__ == "__main__":
