Choose among a few engines, and count a polled version from the poll before

Change 1: the best of two engines of the zone and one of another; requests of other entries since a report are expected at this entry's own rate; the unreported share scales with the slots.

Change 2: the first reader of each zone watches, and a polled version counts from the poll before.

--- a/daisystack/core/engine_latency.py
+++ b/daisystack/core/engine_latency.py
@@ -13,8 +13,8 @@
 ARRIVAL_PASSES = 1.0
 # Time in the entry and on the network to the engine and back.
 NETWORK_OVERHEAD_S = 0.015
-# Requests of other entries that the engine's latest report does not include yet.
-UNREPORTED_REQUESTS = 4
+# Share of the slots that requests of other entries may take before the next report shows them.
+UNREPORTED_SHARE = 0.1875
 
 
 @frozen
@@ -22,7 +22,8 @@
     """Load of an engine: its requests, running or queued, and prompt tokens still to process."""
 
     slots: int
-    requests: int
+    # Not a whole number where it includes an expected number of unreported requests.
+    requests: float
     pending_prompt_tokens: int
     # How many times as long as in its profile the engine takes now.
     slowdown: float = 1.0
@@ -51,7 +52,7 @@
     pass_s = predict_pass_s(profile, load)
     prefill_s = _prefill_s(profile, load.pending_prompt_tokens + prompt_tokens) * load.slowdown
     expected_s = NETWORK_OVERHEAD_S + ARRIVAL_PASSES * pass_s + pass_s + prefill_s
-    ahead = load.requests + UNREPORTED_REQUESTS - load.slots
+    ahead = load.requests - load.slots * (1.0 - UNREPORTED_SHARE)
     if ahead > 0:
         # Slots become free one after another, as their requests are at random stages.
         expected_s += ahead * predict_service_time_s(profile, load) / load.slots
--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -75,6 +75,9 @@
     complete_revision: int = 0
     confirmed_s: float = NEVER_CONFIRMED_S
     era: int = 0
+    # When the store was last known not to hold the changes of the latest read; None if the latest
+    # changes came by a watch or from a peer.
+    changed_after_s: float | None = None
     _changes_by_key: dict[str, Change] = field(factory=dict)
     _tombstones: dict[str, int] = field(factory=dict)
     _pruned_revision: int = 0
@@ -110,6 +113,8 @@
         self._enter_era(snapshot.era, snapshot.requested_s)
         if snapshot.era < self.era or snapshot.revision < self.complete_revision:
             return []
+        is_known_since = self.confirmed_s > NEVER_CONFIRMED_S
+        self.changed_after_s = self.confirmed_s if is_known_since else None
         changed = self._apply_full(snapshot.changes, snapshot.revision, snapshot.requested_s)
         self.confirmed_s = max(self.confirmed_s, snapshot.requested_s)
         return changed
@@ -121,6 +126,7 @@
         """
         if era != self.era:
             return []
+        self.changed_after_s = None
         return [event for event in events if self._apply(event)]
 
     def apply_delta(self, delta: Delta, requested_s: float) -> list[Change]:
@@ -129,6 +135,7 @@
             self._enter_era(delta.era, requested_s)
         if delta.era != self.era or delta.complete_revision < self.complete_revision:
             return []
+        self.changed_after_s = None
         if delta.is_full:
             changed = self._apply_full(delta.changes, delta.complete_revision, requested_s)
         else:
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -26,6 +27,14 @@
 
 # Other entries report their counts every 0.4 s; requests in older reports have ended.
 COUNTS_LIFETIME_S = 2.5
+# Upstreams compared for a request: some of the entry's zone, and one of another zone so that a busy
+# zone spills over. Many entries that all took the best of all would crowd it until its next report.
+NEAR_CHOICES = 2
+FAR_CHOICES = 1
+# Time over which an entry's own rate of requests is measured, as an estimate of that of others.
+SEND_RATE_WINDOW_S = 2.0
+# Arrivals come in bursts, so more may be unseen than their mean number.
+UNSEEN_FACTOR = 2.0
 # After a refused or lost connection, an upstream gets no requests for this long, which gives the
 # published list time to drop it if it is dead.
 AVOID_S = 1.0
@@ -155,6 +164,7 @@
 
 @define
 class _EntryCounts:
+    zone: str
     counts: dict[str, int]
     received_s: float
 
@@ -167,24 +177,29 @@
     engines: EngineStatusTable
     profiles: dict[str, EngineProfile] = field(factory=dict)
     pauses: UpstreamPauses = field(factory=UpstreamPauses)
+    zone: str = ""
     _upstreams: dict[str, DirectUpstream] = field(factory=dict)
     _own_requests: dict[str, set[SentRequest]] = field(factory=dict)
     _ended_requests: dict[str, list[_EndedRequest]] = field(factory=dict)
     _entry_counts: dict[str, _EntryCounts] = field(factory=dict)
     _health: dict[str, _Health] = field(factory=dict)
     _last_received_s: dict[str, float] = field(factory=dict)
-    _others_in_flight: int = 0
     _sending_entries: int = 0
+    # When this entry sent its recent requests to each service with engines.
+    _sent_s: dict[str, deque[float]] = field(factory=dict)
+    _engine_counts: dict[tuple[str, str], int] = field(factory=dict)
 
     def update_upstream(self, upstream: DirectUpstream) -> None:
         """Store the published record of an upstream."""
         self._upstreams[upstream.id] = upstream
+        self._count_engines()
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Remove an upstream that is no longer published."""
         self._upstreams.pop(upstream_id, None)
         self._health.pop(upstream_id, None)
         self._last_received_s.pop(upstream_id, None)
+        self._count_engines()
 
     def get(self, upstream_id: str) -> DirectUpstream | None:
         """Return the published record of an upstream, or None."""
@@ -198,6 +213,12 @@
         """Record a request as sent, count it as in flight and return the record."""
         sent = SentRequest(upstream_id, prompt_tokens, now_s)
         self._own_requests.setdefault(upstream_id, set()).add(sent)
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None and upstream.has_engine:
+            sent_s = self._sent_s.setdefault(upstream.service, deque())
+            sent_s.append(now_s)
+            while sent_s[0] < now_s - SEND_RATE_WINDOW_S:
+                sent_s.popleft()
         return sent
 
     def end(self, sent: SentRequest, now_s: float) -> None:
@@ -221,15 +242,18 @@
         """Return this entry's requests in flight at each upstream, to report to other entries."""
         return {upstream_id: len(own) for upstream_id, own in self._own_requests.items()}
 
-    def update_entry_counts(self, entry_id: str, counts: dict[str, int], now_s: float) -> None:
-        """Store the requests in flight that another entry reports."""
-        self._entry_counts[entry_id] = _EntryCounts(counts, now_s)
-        recent = [
-            t for t in self._entry_counts.values() if now_s - t.received_s <= COUNTS_LIFETIME_S
-        ]
-        totals = [sum(entry.counts.values()) for entry in recent]
-        self._others_in_flight = sum(totals)
-        self._sending_entries = sum(1 for total in totals if total)
+    def update_entry_counts(
+        self, entry_id: str, zone: str, counts: dict[str, int], now_s: float
+    ) -> None:
+        """Store the requests in flight that another entry of a zone reports."""
+        self._entry_counts[entry_id] = _EntryCounts(zone, counts, now_s)
+        self._sending_entries = sum(
+            1
+            for entry in self._entry_counts.values()
+            if entry.zone == self.zone
+            and entry.counts
+            and now_s - entry.received_s <= COUNTS_LIFETIME_S
+        )
 
     def record_success(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream answered."""
@@ -243,23 +267,20 @@
         """Send no requests to an upstream for pause_s, unless there is no other."""
         self._health.setdefault(upstream_id, _Health()).avoid_until_s = now_s + pause_s
 
-    def in_flight(self, upstream_id: str, now_s: float) -> int:
+    def in_flight(self, upstream_id: str, now_s: float) -> float:
         """Estimate an upstream's requests in flight, from its agent's fresh report if any."""
         own = self._own_requests.get(upstream_id, ())
         status = self._fresh_status(upstream_id, now_s)
         if status is not None:
-            # Other entries have the same report and choose alike, so each has sent about as many.
-            sent_since = round(
-                self._estimate_active_entries()
-                * sum(1 for sent in own if sent.sent_s > status.read_s)
-            )
+            sent_since = sum(1 for sent in own if sent.sent_s > status.read_s)
+            unseen = self._expect_unseen(self._upstreams[upstream_id], now_s - status.read_s)
             # Subtract only requests sent before the report; it does not include any sent later.
             ended = sum(
                 1
                 for e in self._ended_requests.get(upstream_id, ())
                 if e.sent_s <= status.read_s < e.ended_s
             )
-            return max(len(own), status.running + status.queued + sent_since - ended)
+            return max(len(own), status.running + status.queued + sent_since + unseen - ended)
         others = sum(
             entry.counts.get(upstream_id, 0)
             for entry in self._entry_counts.values()
@@ -267,10 +288,24 @@
         )
         return len(own) + others
 
-    def _estimate_active_entries(self) -> float:
-        """Estimate how many entries send at this one's rate, from all requests in flight."""
-        own = sum(len(sent) for sent in self._own_requests.values())
-        return 1.0 + min(self._others_in_flight / max(1, own), self._sending_entries)
+    def _expect_unseen(self, upstream: DirectUpstream, age_s: float) -> float:
+        """Return how many requests of other entries an engine's report of some age may lack.
+
+        The entries of a zone send at about the same rate and spread their requests evenly over its
+        engines.
+        """
+        sent_s = self._sent_s.get(upstream.service)
+        if not sent_s or not self._sending_entries:
+            return 0.0
+        rate_per_s = len(sent_s) / SEND_RATE_WINDOW_S
+        engines = max(1, self._engine_counts.get((upstream.service, upstream.zone), 1))
+        return UNSEEN_FACTOR * rate_per_s * self._sending_entries * max(0.0, age_s) / engines
+
+    def _count_engines(self) -> None:
+        """Count the engines of each service and zone."""
+        self._engine_counts = Counter(
+            (u.service, u.zone) for u in self._upstreams.values() if u.has_engine and u.is_ready
+        )
 
     def predict_first_event_s(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
@@ -327,11 +362,21 @@
             return Refusal(f"all {len(preferred)} upstreams are full", True)
         if requirements.is_bulk_failover:
             # All entries would choose the same upstream; two random choices spread the load.
-            available = sorted(available, key=lambda u: self.draw.random())[:2]
+            available = self._draw_some(available, 2)
+        elif available[0].has_engine:
+            near = [u for u in available if u.zone == requirements.zone]
+            far = [u for u in available if u.zone != requirements.zone]
+            far_choices = FAR_CHOICES if near else NEAR_CHOICES
+            available = self._draw_some(near, NEAR_CHOICES) + self._draw_some(far, far_choices)
         return min(
             available, key=lambda u: (self._cost(u, requirements, now_s), self.draw.random())
         )
 
+    def _draw_some(self, upstreams: list[DirectUpstream], count: int) -> list[DirectUpstream]:
+        if len(upstreams) <= count:
+            return upstreams
+        return sorted(upstreams, key=lambda u: self.draw.random())[:count]
+
     def _refuse_without_upstream(
         self, requirements: PlacementRequirements, now_s: float
     ) -> Refusal:
--- a/daisystack/core/targets.py
+++ b/daisystack/core/targets.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["LONG_AGO_S", "Targets", "WeightTarget"]
+__all__ = ["LONG_AGO_S", "MAX_LEARNING_DELAY_S", "Targets", "WeightTarget"]
 
 LONG_AGO_S = float("-inf")
 # A connected process learns of a version within this time, so a version that it missed is
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -84,7 +84,8 @@
         self.mirrors = {prefix: Mirror(prefix, self.reader.document_version) for prefix in prefixes}
         engines = EngineStatusTable()
         pauses = UpstreamPauses(self.settings.publication_bound_s)
-        self.placement = Placement(random.SystemRandom(), engines, pauses=pauses)
+        zone = self.settings.identity.zone
+        self.placement = Placement(random.SystemRandom(), engines, pauses=pauses, zone=zone)
         self.published = PublishedState(self.reader, self.placement)
         hold = CrashHold()
         self.mesh = MeshTask(
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -252,7 +252,7 @@
             summary.predicted_first_event_s = (
                 self.placement.predict_first_event_s(chosen, requirements, at_s) or -1.0
             )
-            summary.in_flight = self.placement.in_flight(chosen.id, at_s)
+            summary.in_flight = round(self.placement.in_flight(chosen.id, at_s))
         return chosen
 
     def _build_requirements(self, context: _RequestContext, at_s: float) -> PlacementRequirements:
@@ -308,7 +308,7 @@
     ) -> AttemptOutcome:
         request, runner, summary = context.request, context.runner, context.summary
         started_s = now_s()
-        in_flight = self.placement.in_flight(upstream.id, started_s)
+        in_flight = round(self.placement.in_flight(upstream.id, started_s))
         version = self.placement.version_of(upstream, started_s)
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, started_s)
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -57,8 +57,8 @@
     on_changes: Callable[[Mirror, list], None]
     own_in_flight: Callable[[], dict[str, int]] = dict
     own_crash_counts: Callable[[float], tuple[tuple[str, int], ...]] = lambda at_s: ()
-    on_in_flight: Callable[[str, dict[str, int], float], None] = (
-        lambda instance_id, counts, at_s: None
+    on_in_flight: Callable[[str, str, dict[str, int], float], None] = (
+        lambda instance_id, zone, counts, at_s: None
     )
     on_crash_counts: Callable[[str, tuple[tuple[str, int], ...], float], None] = (
         lambda instance_id, counts, at_s: None
@@ -198,7 +198,8 @@
         for wire in news.engines:
             self.engines.update(mesh.engine_from_wire(wire, at_s), is_direct=is_agent)
         if sender.role == MemberRole.ENTRY.value:
-            self.on_in_flight(sender.id, {c.upstream_id: c.requests for c in news.in_flight}, at_s)
+            counts = {c.upstream_id: c.requests for c in news.in_flight}
+            self.on_in_flight(sender.id, sender.zone, counts, at_s)
         if news.crash_counts:
             reported = tuple((c.fingerprint, c.deaths) for c in news.crash_counts)
             self.on_crash_counts(sender.id, reported, at_s)
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -27,8 +27,6 @@
 WATCH_TIMEOUT_S = 2.0
 # How often a process checks whether it should watch.
 WATCH_CHECK_INTERVAL_S = 0.5
-# Reads in the store's own zone take a few milliseconds; slower readers don't watch.
-MAX_WATCH_READ_LATENCY_S = 0.012
 # Weight of the latest read in the moving average of the read latency.
 LATENCY_SMOOTHING = 0.3
 
@@ -54,15 +52,11 @@
         eventlet.spawn(run_steps, f"mirror of {self.mirror.prefix}", self._step)
 
     def start_watch(self) -> None:
-        """Start to watch as well, whenever this process is the first reader and near the store."""
+        """Start to watch as well, whenever this process is the first reader of its zone."""
         eventlet.spawn(run_steps, f"watch of {self.mirror.prefix}", self._watch)
 
     def _watch(self) -> None:
-        is_reader = (
-            self.reader_rank() == 0
-            and self._read_latency_s <= MAX_WATCH_READ_LATENCY_S
-            and not self._is_store_lost
-        )
+        is_reader = self.reader_rank() == 0 and not self._is_store_lost
         if not self.mirror.has_snapshot or not is_reader:
             eventlet.sleep(WATCH_CHECK_INTERVAL_S)
             return
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -11,7 +11,12 @@
 from daisystack.backends import InvalidPublication, PublicationReader
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import DirectUpstream, Placement
-from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
+from daisystack.core.targets import (
+    LONG_AGO_S,
+    MAX_LEARNING_DELAY_S,
+    Targets,
+    WeightTarget,
+)
 from daisystack.core.traffic import TrafficPolicy
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import (
@@ -40,11 +45,13 @@
     on_target: list[Callable[[WeightTarget], None]] = field(factory=list)
     refused_count: int = 0
     _read_prefixes: set[str] = field(factory=set)
+    _changed_after_s: float | None = None
 
     def apply_changes(self, mirror: Mirror, changes: Iterable[Change]) -> None:
         """Decode and apply changes of a mirror."""
         is_first_read = mirror.prefix not in self._read_prefixes
         self._read_prefixes.add(mirror.prefix)
+        self._changed_after_s = mirror.changed_after_s
         for change in changes:
             self._apply_change(change, is_first_read, mirror.age_s(now_s()))
 
@@ -112,7 +119,19 @@
     def _(
         self, publication: WeightTarget, change: Change, is_first_read: bool, age_s: float
     ) -> None:
-        self._add_target(publication, LONG_AGO_S if is_first_read else now_s(), change.revision)
+        self._add_target(publication, self._learned_s(is_first_read), change.revision)
+
+    def _learned_s(self, is_first_read: bool) -> float:
+        """Return since when a target that is applied now counts as known.
+
+        A poll may find it long after it was published, so it counts from the poll before.
+        """
+        if is_first_read:
+            return LONG_AGO_S
+        at_s = now_s()
+        if self._changed_after_s is None:
+            return at_s
+        return max(self._changed_after_s, at_s - MAX_LEARNING_DELAY_S)
 
     def _add_target(self, target: WeightTarget, learned_s: float, revision: int) -> None:
         if not self.targets.learn(target, learned_s):
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -5,7 +5,7 @@
 
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.membership import Member, MemberRole
-from daisystack.core.mirror import Change
+from daisystack.core.mirror import Change, Snapshot
 from daisystack.core.targets import WeightTarget
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_entry import DirectEntry
@@ -58,6 +58,29 @@
                 start_share_pull.assert_called_once_with(WeightTarget("m", 2))
 
 
+class TestLearning(unittest.TestCase):
+    """Requests may begin on a version for a bounded time after the next one was published."""
+
+    def learned_ages(self, apply):
+        entry = build_entry()
+        mirror = entry.mirrors["op/"]
+        first = Snapshot((Change("op/v", 1, b"1"),), 1, now_s() - 1.5)
+        entry.published.apply_changes(mirror, mirror.apply_snapshot(first))
+        entry.published.apply_changes(mirror, apply(mirror))
+        self.assertEqual(entry.published.targets.version("m"), 2)
+        return entry.published.targets.age_s("m", now_s())
+
+    def test_a_version_found_by_a_poll_counts_from_the_poll_before(self):
+        """On a narrow link the reader had no watch and found a version most of a second late."""
+        changes = (Change("op/v", 2, b"2"),)
+        age_s = self.learned_ages(lambda m: m.apply_snapshot(Snapshot(changes, 2, now_s())))
+        self.assertAlmostEqual(age_s, 1.5, delta=0.1)
+
+    def test_a_version_found_by_a_watch_counts_from_now(self):
+        age_s = self.learned_ages(lambda m: m.apply_events([Change("op/v", 2, b"2")]))
+        self.assertLess(age_s, 0.1)
+
+
 class TestReadiness(unittest.TestCase):
     def test_entry_without_state_is_not_ready_and_lists_no_addresses(self):
         entry = build_entry()
