--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -11,9 +11,11 @@
 
 __all__ = [
     "BASE_BOUND_S",
+    "MAX_READER_RANK",
     "agent_neighbors",
     "entry_neighbors",
     "max_mirror_age_s",
+    "mirror_bound_s",
     "reader_ranking",
     "should_read",
     "upstreams_of_entry",
@@ -37,6 +39,11 @@
 # One gossip round, so that a later rank reads only if the earlier ones delivered nothing.
 READER_RANK_STEP_S = 0.25
 MAX_READER_RANK_STEPS = 6
+# Entries ranked lower use this rank too, so that every entry reads the store once its mirrors are
+# as old as the third reader's may be.
+MAX_READER_RANK = 2
+# A read that is answered late, and the way of the answer to the request that needs it.
+READ_DURATION_S = 0.4
 
 
 def reader_ranking(document: SiteDocument, zone: str) -> list[str]:
@@ -69,6 +76,13 @@
     return service_age_s > max_age_s
 
 
+def mirror_bound_s(publication_bound_s: float, max_key_age_s: float) -> float:
+    """Return the bound for mirrors that also keeps each reader's keys within their maximum age."""
+    scale_s = FIRST_READER_MAX_AGE_S + READER_RANK_STEP_S * MAX_READER_RANK
+    scale = (max_key_age_s - MAX_READ_LATENCY_DELAY_S - READ_DURATION_S) / scale_s
+    return max(0.0, min(publication_bound_s, scale * BASE_BOUND_S))
+
+
 def max_mirror_age_s(
     rank: int, read_latency_s: float, publication_bound_s: float = BASE_BOUND_S
 ) -> float:
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -17,6 +17,7 @@
 from daisystack.core.membership import Member, MemberRole, usable_entries
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
+from daisystack.core.readers import MAX_READER_RANK, mirror_bound_s
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import CallerLimits
 from daisystack.core.upstream_pauses import UpstreamPauses
@@ -41,9 +42,6 @@
 
 # With two entries in a zone, one can fail and callers still find another in their zone.
 MIN_ZONE_ENTRIES = 2
-# Entries ranked lower use this rank too, so that every entry reads the store once its mirrors are
-# as old as the third reader's may be.
-MAX_READER_RANK = 2
 READER_DUTY = "reader"
 # Keys must be confirmed this much earlier than the revocation bound, to allow for the time
 # that a request is in flight.
@@ -121,13 +119,15 @@
         entry_metrics = EntryMetrics(self.metrics.registry)
         self.requests.on_request_ended = entry_metrics.record_request
         self.requests.on_attempt_ended = entry_metrics.record_attempt
+        max_key_age_s = self.settings.revoke_bound_s - KEY_AGE_MARGIN_S
+        bound_s = mirror_bound_s(self.settings.publication_bound_s, max_key_age_s)
         self.mirror_tasks = [
             MirrorTask(
                 mirror,
                 self.store,
                 self._reader_rank,
                 self.apply_changes,
-                self.settings.publication_bound_s,
+                bound_s,
             )
             for mirror in self.mirrors.values()
         ]
