Let the stand-in's store come back from an older copy

The process test of a drill checks for four seconds that a key revoked in the lost configuration stays revoked at both entries, that a newer configuration at a lower revision is in force within 3 s, and the log line.

--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -131,6 +131,10 @@
         url = f"http://{HOST}:{self.base_port}/publish/{key}"
         self._request(url, "PUT", json.dumps(value).encode(), {})
 
+    def drill(self, step: str) -> None:
+        """Let the store keep a copy of itself, or come back from it in a new era."""
+        self._request(f"http://{HOST}:{self.base_port}/drill/{step}", "PUT", b"{}", {})
+
     def engine_version(self, index: int) -> int:
         """Return the version that an engine reports as loaded, or 0."""
         url = f"http://{HOST}:{self.base_port + 3 + index}/daisystack/report"
--- a/daisystack/tests/on_platform/standin.py
+++ b/daisystack/tests/on_platform/standin.py
@@ -53,6 +53,9 @@
     revision: int = 1
     items: dict[str, tuple[int, bytes]] = field(factory=dict)
     deleted: dict[str, int] = field(factory=dict)
+    era: int = 1
+    # Revision and items that a drill comes back to.
+    copy: tuple[int, dict[str, tuple[int, bytes]]] = (1, {})
 
     def put(self, key: str, value: object) -> None:
         """Publish a value."""
@@ -71,25 +74,42 @@
             Route("GET", "/daisystack/kv-range", self._range),
             Route("GET", "/daisystack/kv-watch", self._watch),
             Route("PUT", "/publish/", self._publish),
+            Route("PUT", "/drill/", self._drill),
         ]
 
     def _publish(self, request: Request, key: str) -> Response:
         self.put(key, json.loads(read_body(request, MAX_BODY_BYTES)))
         return json_response(200, {"revision": self.revision})
 
+    def _drill(self, request: Request, step: str) -> Response:
+        """Keep a copy of the store, or come back from the kept one in a new era."""
+        if step == "keep":
+            self.copy = (self.revision, dict(self.items))
+        else:
+            self.revision, self.items = self.copy[0], dict(self.copy[1])
+            self.deleted = {}
+            self.era += 1
+        return json_response(200, {"era": self.era})
+
+    def _answer(self, body: dict) -> Response:
+        return json_response(200, body, (("Store-Era", str(self.era)),))
+
     def _range(self, request: Request, subpath: str) -> Response:
         prefix = request.query("prefix")
         items = [self._item(k) for k in sorted(self.items) if k.startswith(prefix)]
         body = {"items": items, "more_pages": False, "as_of": self.revision}
-        return json_response(200, body)
+        return self._answer(body)
 
     def _watch(self, request: Request, subpath: str) -> Response:
         prefix, after = request.query("prefix"), int(request.query("after", "0"))
         with eventlet.Timeout(int(request.query("wait_ms", "0")) / 1000, False):
             while not self._events(prefix, after):
                 eventlet.sleep(WATCH_POLL_S)
+        if after > self.revision:
+            # A position that the copy does not have.
+            return json_response(410, {}, (("Store-Era", str(self.era)),))
         body = {"events": self._events(prefix, after), "as_of": self.revision}
-        return json_response(200, body)
+        return self._answer(body)
 
     def _events(self, prefix: str, after: int) -> list[dict]:
         events = [
--- a/daisystack/tests/test_platform_site.py
+++ b/daisystack/tests/test_platform_site.py
@@ -1,6 +1,7 @@
 """Test entries and agents as separate processes against a stand-in of the platform."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -45,3 +46,32 @@
         took_s = self.site.wait_for(lambda: self.site.call(1, "POST", "/post/1").status == 401)
         self.assertLess(took_s, 2.0)
         self.assertEqual(self.site.call(1, "POST", "/post/1", "another-key").status, 200)
+
+    def publish_config(self, version, *keys):
+        config = build_config(f"127.0.0.1:{self.site.base_port + 1}")
+        config["version"] = version
+        config["tenants"] = [{"name": "dealers", "api_keys": list(keys)}]
+        self.site.publish("op/config", config)
+
+    def status(self, index, key):
+        return self.site.call(index, "POST", "/post/1", key).status
+
+    def test_a_drill_of_the_store_undoes_no_revocation(self):
+        """The store comes back from a copy in which a revoked key was valid."""
+        self.site.drill("keep")
+        self.publish_config(2, "another-key")
+        for index in range(2):
+            self.site.wait_for(lambda i=index: self.status(i, "another-key") == 200)
+        self.site.drill("restore")
+        ends_s = time.monotonic() + 4.0
+        while time.monotonic() < ends_s:
+            for index in range(2):
+                self.assertEqual(self.status(index, "key-of-the-dealers"), 401)
+                self.assertIn(self.status(index, "another-key"), (200, 503))
+        # Revisions are given out again; a truly newer configuration has a lower one.
+        self.publish_config(3, "third-key")
+        for index in range(2):
+            took_s = self.site.wait_for(lambda i=index: self.status(i, "third-key") == 200)
+            self.assertLess(took_s, 3.0)
+            self.assertEqual(self.status(index, "another-key"), 401)
+        self.assertIn("store_era_changed", self.log("entry-0") + self.log("entry-1"))
