Log requests that begin on an expired version, and the time it had left at sending

The record's logs could not tell a wait that was predicted too short from an end that was counted too late: no line held the time that the version had left when an attempt was sent, nor when its first event came. Ruled out: logging every answered attempt, as the volume must stay bounded.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -130,9 +130,16 @@
     upstream_id: str
     prompt_tokens: int
     sent_s: float
-    # When the latest part of its answer was received.
+    # When the first and the latest part of its answer were received.
+    first_received_s: float | None = None
     last_received_s: float | None = None
 
+    def record_received(self, now_s: float) -> None:
+        """Record that a part of the answer was received."""
+        self.last_received_s = now_s
+        if self.first_received_s is None:
+            self.first_received_s = now_s
+
     @property
     def is_prefilled(self) -> bool:
         """Return whether the engine has processed the prompt, which the first event shows."""
--- a/daisystack/core/request_timeline.py
+++ b/daisystack/core/request_timeline.py
@@ -19,7 +19,7 @@
 CONCURRENT_WINDOW = timedelta(seconds=1)
 
 REQUEST_ENDED = "direct_request_ended"
-REQUEST_EVENTS = frozenset({REQUEST_ENDED, "attempt_ended"})
+REQUEST_EVENTS = frozenset({REQUEST_ENDED, "attempt_ended", "expired_version_started"})
 UPSTREAM_EVENTS = frozenset({"upstream_changed", "upstream_gone"})
 # For each event: the kind of state that it changes, and the field that identifies the item.
 STATE_EVENTS = {
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -150,7 +150,7 @@
                 "response is from another weight version than the first part",
             )
         for event in self._iter_events(exchange):
-            self._sent.last_received_s = now_s()
+            self._sent.record_received(now_s())
             if self._is_duplicate(event):
                 continue
             self._start_answer(answer)
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -119,6 +119,7 @@
         entry_metrics = EntryMetrics(self.metrics.registry)
         self.requests.on_request_ended = entry_metrics.record_request
         self.requests.on_attempt_ended = entry_metrics.record_attempt
+        self.requests.on_expired_start = entry_metrics.record_expired_start
         max_key_age_s = self.settings.revoke_bound_s - KEY_AGE_MARGIN_S
         bound_s = mirror_bound_s(self.settings.publication_bound_s, max_key_age_s)
         self.mirror_tasks = [
--- a/daisystack/runtime/direct_metrics.py
+++ b/daisystack/runtime/direct_metrics.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from daisystack.core.addresses import parse_address
-from daisystack.runtime.events import AttemptEnded, DirectRequestEnded
+from daisystack.runtime.events import AttemptEnded, DirectRequestEnded, ExpiredVersionStarted
 from daisystack.runtime.web import Request, Response, Route, serve_http
 
 __all__ = ["EntryMetrics", "MetricsServer", "Sample"]
@@ -56,6 +56,7 @@
     first_event: Histogram = field(init=False)
     request_time: Histogram = field(init=False)
     attempt_time: Histogram = field(init=False)
+    expired_starts: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         registry = self.registry
@@ -65,6 +66,11 @@
         self.attempts = Counter(
             "daisystack_attempts_total", "Attempts by how they ended", registry=registry
         )
+        self.expired_starts = Counter(
+            "daisystack_expired_starts_total",
+            "Answers whose first event came after the end of their weight version",
+            registry=registry,
+        )
         self.first_event = _histogram(
             "daisystack_first_event_seconds", "Time to the first event of a stream", registry
         )
@@ -88,6 +94,10 @@
         self.attempts.inc({"end": event.end})
         self.attempt_time.observe({"end": event.end}, event.took_s)
 
+    def record_expired_start(self, event: ExpiredVersionStarted) -> None:
+        """Record an answer that began after the end of its weight version."""
+        self.expired_starts.inc({})
+
 
 def _histogram(name: str, help_text: str, registry: Registry) -> Histogram:
     return Histogram(name, help_text, buckets=LATENCY_BUCKETS_S, registry=registry)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -42,6 +42,7 @@
 from daisystack.runtime.events import (
     AttemptEnded,
     DirectRequestEnded,
+    ExpiredVersionStarted,
     UpstreamLeaving,
     UpstreamNoticeIgnored,
     UpstreamPaused,
@@ -120,6 +121,7 @@
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
+    on_expired_start: Callable[[ExpiredVersionStarted], None] = lambda event: None
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
     _rng: random.Random = field(factory=random.SystemRandom)
@@ -310,6 +312,7 @@
         started_s = now_s()
         in_flight = round(self.placement.in_flight(upstream.id, started_s))
         version = self.placement.version_of(upstream, started_s)
+        version_ends_s = self._version_end_s(request, upstream, version)
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, started_s)
         try:
@@ -336,12 +339,41 @@
             in_flight,
             version,
             now_s() - started_s,
+            version_ends_s - started_s if version_ends_s < float("inf") else -1.0,
+            sent.first_received_s - started_s if sent.first_received_s is not None else -1.0,
         )
         self.on_attempt_ended(event)
         if result.end is not AttemptEnd.ANSWERED:
             log_event(_logger, event)
+        self._report_expired_start(event, context, upstream, sent)
         return AttemptOutcome(result.end, upstream.id, reason=result.reason)
 
+    def _version_end_s(
+        self, request: DirectRequest, upstream: DirectUpstream, version: int
+    ) -> float:
+        """Return until when a request may start on an engine's version; inf without a limit."""
+        deadline = self._version_deadline(request)
+        return deadline(version) if deadline and upstream.has_engine else float("inf")
+
+    def _report_expired_start(
+        self,
+        event: AttemptEnded,
+        context: _RequestContext,
+        upstream: DirectUpstream,
+        sent: SentRequest,
+    ) -> None:
+        version = context.runner.exact_version
+        if sent.first_received_s is None or version is None:
+            return
+        late_s = sent.first_received_s - self._version_end_s(context.request, upstream, version)
+        if late_s <= 0:
+            return
+        expired = ExpiredVersionStarted(
+            event.request_id, event.upstream, version, late_s, event.version_left_s
+        )
+        self.on_expired_start(expired)
+        log_event(_logger, expired)
+
     def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
         """Record what an upstream says of itself in the head of a response."""
         at_s = now_s()
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -17,6 +17,7 @@
     "DependencyLost",
     "DependencyRegained",
     "DirectRequestEnded",
+    "ExpiredVersionStarted",
     "OrderAnswered",
     "PeerHeard",
     "PeerSilent",
@@ -270,6 +271,22 @@
     in_flight: int
     version: int
     took_s: float
+    # At sending, the time left to start on the version; -1 if unlimited.
+    version_left_s: float = -1.0
+    # From the start of the attempt to the first event of its answer; -1 if there was none.
+    first_event_s: float = -1.0
+
+
+@frozen
+class ExpiredVersionStarted:
+    """The first event of an answer came after requests could no longer start on its version."""
+
+    request_id: str
+    upstream: str
+    version: int
+    late_s: float
+    # When the attempt was sent.
+    version_left_s: float
 
 
 @frozen
