Show that a request stays in an engine's queue past the end of its version

Cause: the time until which a request may begin on a version is compared with a prediction when an engine is chosen; between the sending and the first event nothing looks at it again. Callers saw answers of an expired version. Ruled out: an end that is counted too late, as the tests give the end exactly.

--- /dev/null
+++ b/daisystack/tests/test_version_end.py
@@ -0,0 +1,126 @@
+"""Test requests that wait at an engine whose weight version ends before it has begun them."""
+
+import unittest
+
+import attrs
+import eventlet
+
+from daisystack.core.targets import LONG_AGO_S, WeightTarget
+from daisystack.core.traffic import RequestKind
+from daisystack.runtime.clock import now_s
+from daisystack.testing.direct import (
+    RecordingResponder,
+    build_engine_profile,
+    build_inbound,
+    build_policy,
+    build_requests,
+    build_route,
+    build_upstream,
+)
+from daisystack.testing.scripted import ScriptedServer, read_request
+from daisystack.tests.test_placement import build_engine_status
+from daisystack.tests.test_standstill import chunk, event
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nDaisystack-Mark: m\r\n"
+    b"Daisystack-Version: %d\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+# Time until version 1 ends when a request is sent; just enough for an engine that looks idle.
+LEFT_S = 1.7
+REPORT_INTERVAL_S = 0.1
+PLAIN_FIELDS = {"service": "llm", "has_engine": True, "slots": 16, "started_ms": 7}
+
+
+class Site:
+    """Two engines: the nearer one holds version 1, which ends, the other one version 2."""
+
+    def __init__(self, test):
+        self.closed_s = []
+        self.received_requests = []
+        self.servers = [ScriptedServer([self.wait_in_queue]), ScriptedServer([self.answer])]
+        for server in self.servers:
+            test.addCleanup(server.close)
+        self.upstreams = [
+            build_upstream("a", self.servers[0].address, zone="z1", version=1, **PLAIN_FIELDS),
+            build_upstream("b", self.servers[1].address, zone="z2", version=2, **PLAIN_FIELDS),
+        ]
+
+    def wait_in_queue(self, sock):
+        self.received_requests.append(read_request(sock).lower())
+        sock.recv(1)
+        self.closed_s.append(now_s())
+
+    def answer(self, sock):
+        self.received_requests.append(read_request(sock).lower())
+        events = b"".join(chunk(event(n)) for n in (1, 2))
+        sock.sendall(HEAD % 2 + events + b"0\r\n\r\n")
+
+    def build(self, retry_slack=100.0, **route):
+        defaults = {"service": "llm", "is_resumable": True, "timeout_s": 4.0, "objective_s": 0.0}
+        policy = build_policy(build_route(RequestKind.STREAM, **(defaults | route)))
+        requests = build_requests(policy, self.upstreams)
+        requests.placement.profiles["llm"] = build_engine_profile()
+        requests.published.targets.learn(WeightTarget("m", 1), LONG_AGO_S)
+        settings = attrs.evolve(requests.settings, retry_ratio=0.0, retry_slack=retry_slack)
+        return attrs.evolve(requests, settings=settings)
+
+    def report(self, requests):
+        """Report both engines as idle, as their agents do, until stopped."""
+        while True:
+            for upstream in self.upstreams:
+                status = build_engine_status("x", now_s(), version=upstream.version)
+                requests.placement.engines.update(attrs.evolve(status, address=upstream.address))
+            eventlet.sleep(REPORT_INTERVAL_S)
+
+
+class TestWaitingAtTheEnd(unittest.TestCase):
+    """An engine keeps a request in its queue for longer than predicted, past the version's end."""
+
+    def serve(self, learned_after_s=0.0, left_s=LEFT_S, **options):
+        site = Site(self)
+        requests = site.build(**options)
+        reporter = eventlet.spawn(site.report, requests)
+        self.addCleanup(reporter.kill)
+        eventlet.sleep(0)
+        ends_s = now_s() + left_s
+        learned_s = ends_s - requests.settings.version_bound_s
+        target = WeightTarget("m", 2)
+        eventlet.spawn_after(learned_after_s, requests.published.targets.learn, target, learned_s)
+        eventlet.sleep(0)
+        responder = RecordingResponder()
+        requests.handle(build_inbound(daisystack_tokens="100"), responder)
+        answered_s = now_s()
+        eventlet.sleep(0.05)
+        self.assertEqual(len(site.closed_s), 1)
+        return site, responder, site.closed_s[0] - ends_s, answered_s - ends_s
+
+    # A request began 74 ms after the bound, after 1.5 s in the queue of a leaving engine.
+    def test_request_leaves_the_queue_before_the_version_ends(self):
+        _, responder, closed_s, _ = self.serve()
+        self.assertLess(closed_s, -0.2)
+        self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
+
+    # A version was published after the request had been sent, and what waited was not compared.
+    def test_request_leaves_the_queue_when_its_version_is_found_to_end(self):
+        _, responder, closed_s, _ = self.serve(learned_after_s=0.3, left_s=1.0)
+        self.assertLess(closed_s, -0.2)
+        self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
+
+    # The engine may have begun it, so it is neither repeated nor said not to have run.
+    def test_non_repeatable_request_leaves_the_queue_and_is_not_repeated(self):
+        site, responder, closed_s, answered_s = self.serve(is_resumable=False)
+        self.assertLess(closed_s, -0.2)
+        self.assertLess(answered_s, 0.0)
+        self.assertIn(responder.status, (502, 504))
+        self.assertEqual(len(site.received_requests), 1)
+
+    # The bound holds also when the retry budget is spent.
+    def test_request_leaves_the_queue_when_no_retry_is_left(self):
+        site, responder, closed_s, _ = self.serve(retry_slack=0.0)
+        self.assertLess(closed_s, -0.2)
+        self.assertIn(responder.status, (502, 504))
+        self.assertEqual(len(site.received_requests), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
