Close an attempt that has not begun shortly before its weight version ends

Cause: a bound checked at a decision and not at the act. usable_until_s was compared with a predicted start when an engine was chosen; between the sending and the first event nothing looked at it, nor at versions learned meanwhile. Ruled out as this cause: an end counted too late (both requests had 1.5 and 2.2 s left when they were sent). Change: an attempt without a first event is closed 0.5 s before the end of the version that its engine holds, whatever the budget; the check runs every 0.2 s also while bytes arrive that are no event, and uses the targets known then. The request may have begun, so it goes on elsewhere only if it may be repeated and a retry is left; else the caller gets 502, never "not run". A larger start margin alone only shifts the same guess. Conclusion: the sender no longer relies on its prediction. Left: an engine whose machine stands still reads the close late.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -130,6 +130,8 @@
     upstream_id: str
     prompt_tokens: int
     sent_s: float
+    # Weight version that the upstream held, 0 for a plain one.
+    version: int = 0
     # When the first and the latest part of its answer were received.
     first_received_s: float | None = None
     last_received_s: float | None = None
@@ -218,9 +220,10 @@
 
     def begin(self, upstream_id: str, prompt_tokens: int, now_s: float) -> SentRequest:
         """Record a request as sent, count it as in flight and return the record."""
-        sent = SentRequest(upstream_id, prompt_tokens, now_s)
-        self._own_requests.setdefault(upstream_id, set()).add(sent)
         upstream = self._upstreams.get(upstream_id)
+        version = self.version_of(upstream, now_s) if upstream and upstream.has_engine else 0
+        sent = SentRequest(upstream_id, prompt_tokens, now_s, version)
+        self._own_requests.setdefault(upstream_id, set()).add(sent)
         if upstream is not None and upstream.has_engine:
             sent_s = self._sent_s.setdefault(upstream.service, deque())
             sent_s.append(now_s)
@@ -498,6 +501,19 @@
             return True
         return upstream.has_engine and self._is_unresponsive(upstream, now_s)
 
+    def start_deadline_s(
+        self,
+        sent: SentRequest,
+        version_deadline_s: Callable[[int], float] | None,
+        now_s: float,
+    ) -> float:
+        """Return until when an engine may begin a request that it was sent; inf without a limit."""
+        if version_deadline_s is None or sent.version == 0:
+            return float("inf")
+        status = self._fresh_status(sent.upstream_id, now_s)
+        has_loaded = status is not None and status.is_complete and not status.is_loading
+        return version_deadline_s(max(sent.version, status.version if has_loaded else 0))
+
     def is_stuck(self, sent: SentRequest, now_s: float) -> bool:
         """Return whether a request waits at an engine whose machine is unresponsive."""
         upstream = self._upstreams.get(sent.upstream_id)
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -28,6 +28,8 @@
     # The connection lost the request, and its ticket is sealed.
     NEVER_ARRIVED = "never_arrived"
     NO_ANSWER = "no_answer"
+    # Closed before its first event, as its weight version was about to end.
+    WITHDRAWN = "withdrawn"
     DEADLINE = "deadline"
     # The answer ended early or exceeded a limit.
     ANSWER_CUT = "answer_cut"
--- /dev/null
+++ b/daisystack/runtime/attempt_guard.py
@@ -0,0 +1,69 @@
+"""Check an attempt while it waits for its upstream, and end it when it must not go on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+from attrs import define
+
+from daisystack.core.placement import (
+    UNRESPONSIVE_PAUSE_S,
+    Placement,
+    PlacementRequirements,
+    Refusal,
+    SentRequest,
+)
+from daisystack.core.requests import RequestState
+from daisystack.core.verdicts import AttemptEnd
+from daisystack.core.version_end import must_withdraw
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.upstream_http import AttemptFailed
+
+__all__ = ["AttemptGuard"]
+
+
+@define(eq=False)
+class AttemptGuard:
+    """Checks of one attempt that has been sent."""
+
+    placement: Placement
+    sent: SentRequest
+    state: RequestState
+    # Returns until when a request may begin on a version; None if its versions never end.
+    version_deadline_s: Callable[[int], float] | None
+    # Builds what another attempt would require at a time.
+    build_requirements: Callable[[float], PlacementRequirements]
+    can_retry: Callable[[float], bool]
+
+    def check(self) -> None:
+        """Raise AttemptFailed if the attempt must end before its answer is complete."""
+        at_s = now_s()
+        if not self.sent.is_prefilled:
+            deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, at_s)
+            if must_withdraw(self.sent, deadline_s, at_s):
+                raise AttemptFailed(AttemptEnd.WITHDRAWN, "its version ends before it has begun")
+        if self._can_leave_stuck(at_s):
+            end = AttemptEnd.ANSWER_CUT if self.sent.is_prefilled else AttemptEnd.NO_ANSWER
+            raise AttemptFailed(end, "its machine stands still")
+
+    def _can_leave_stuck(self, now_s: float) -> bool:
+        """Return whether an attempt is stuck and another upstream can accept its request now.
+
+        If so, the unresponsive upstream is avoided for a while.
+        """
+        if not self.placement.is_stuck(self.sent, now_s) or not self.state.may_abandon(now_s):
+            return False
+        if not self.can_retry(now_s):
+            return False
+        tried = self.state.tried_upstreams() | {self.sent.upstream_id}
+        requirements = attrs.evolve(
+            self.build_requirements(now_s),
+            excluded=tried,
+            first_event_time_left_s=None,
+            is_resubmission=False,
+        )
+        if isinstance(self.placement.choose(requirements, now_s), Refusal):
+            return False
+        self.placement.avoid(self.sent.upstream_id, now_s, UNRESPONSIVE_PAUSE_S)
+        return True
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -72,16 +72,17 @@
         workspace: Workspace | None,
         priority: int | None,
         sent: SentRequest,
-        should_abort: Callable[[], bool],
+        check_wait: Callable[[], None],
         on_answer: Callable[[DirectAnswer], None],
     ) -> AttemptResult:
-        """Send the request to an upstream and relay the response until should_abort is true.
+        """Send the request to an upstream and relay the response.
 
-        on_answer gets the head of the response, before any of it reaches the caller.
+        check_wait may raise AttemptFailed while the attempt waits. on_answer gets the head of the
+        response, before any of it reaches the caller.
         """
         self._sent = sent
         self._on_answer = on_answer
-        exchange = DirectExchange(upstream.address, self.deadline_s, should_abort)
+        exchange = DirectExchange(upstream.address, self.deadline_s, check_wait)
         try:
             exchange.connect()
             self._send(exchange, upstream, workspace, priority)
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -31,8 +31,8 @@
 # Bytes that the upstream host leaves unacknowledged for this long count as lost.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 KEEPALIVE_INTERVAL_S = 1
-# Interval at which an exchange that waits for bytes checks whether its upstream has stalled.
-STALL_CHECK_INTERVAL_S = 0.2
+# Interval at which an exchange that waits for bytes checks whether to go on.
+WAIT_CHECK_INTERVAL_S = 0.2
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -55,10 +55,12 @@
 
     address: str
     deadline_s: float
-    should_abort: Callable[[], bool] = lambda: False
+    # Called while the exchange waits for bytes; may raise AttemptFailed.
+    check_wait: Callable[[], None] = lambda: None
     has_sent: bool = False
     was_reset: bool = False
     _sock: socket.socket | None = None
+    _check_due_s: float = float("-inf")
     _http: h11.Connection = field(
         factory=lambda: h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
     )
@@ -141,22 +143,25 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = self._wait_for_bytes(end)
+                data = self._wait_for_bytes()
             except OSError as error:
                 self.was_reset = True
                 raise AttemptFailed(end, str(error)) from error
             self.was_reset = self.was_reset or not data
             self._http.receive_data(data)
 
-    def _wait_for_bytes(self, end: AttemptEnd) -> bytes:
+    def _wait_for_bytes(self) -> bytes:
         while True:
-            left_s = self.deadline_s - now_s()
-            with eventlet.Timeout(max(0.0, min(left_s, STALL_CHECK_INTERVAL_S)), False):
-                return _receive(self._sock)
-            if now_s() >= self.deadline_s:
+            at_s = now_s()
+            if at_s >= self.deadline_s:
                 raise AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed")
-            if self.should_abort():
-                raise AttemptFailed(end, "its machine stands still")
+            if at_s >= self._check_due_s:
+                # Also while bytes arrive, as they need not be part of an answer.
+                self._check_due_s = at_s + WAIT_CHECK_INTERVAL_S
+                self.check_wait()
+            wait_s = min(self.deadline_s, self._check_due_s) - at_s
+            with eventlet.Timeout(wait_s, False):
+                return _receive(self._sock)
 
     def _receive_answer_bytes(self) -> bool:
         with contextlib.suppress(OSError), eventlet.Timeout(CONNECT_TIMEOUT_S, False):
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -16,7 +16,6 @@
 from daisystack.core.direct_request import DirectAnswer, DirectRequest, InvalidRequest
 from daisystack.core.mirror import Mirror
 from daisystack.core.placement import (
-    UNRESPONSIVE_PAUSE_S,
     DirectUpstream,
     Placement,
     PlacementRequirements,
@@ -35,6 +34,7 @@
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
 from daisystack.core.upstream_pauses import parse_pause_s
 from daisystack.core.verdicts import AttemptEnd, Verdict
+from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import CallerGone, InboundRequest, Responder
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_attempt import AttemptResult, AttemptRunner
@@ -69,6 +69,9 @@
 # Attempts end this long before the deadline, so that the response reaches the caller in time.
 ANSWER_MARGIN_S = 0.02
 
+# Ends of an attempt that say nothing against its upstream.
+_ENDS_WITHOUT_FAULT = frozenset({AttemptEnd.REFUSED_AT_GATE, AttemptEnd.WITHDRAWN})
+
 _logger = logging.getLogger("daisystack.requests")
 
 
@@ -276,27 +279,15 @@
             is_bulk_failover=not is_first,
         )
 
-    def _should_abort(self, context: _RequestContext, sent: SentRequest) -> bool:
-        """Return whether an attempt is stuck and another upstream can accept its request now.
-
-        If so, the unresponsive upstream is avoided for a while.
-        """
-        at_s = now_s()
-        if not self.placement.is_stuck(sent, at_s) or not context.state.may_abandon(at_s):
-            return False
-        if not self._budgets.can_consume(context.service, self.count_entries(), at_s):
-            return False
-        tried = context.state.tried_upstreams() | {sent.upstream_id}
-        requirements = attrs.evolve(
-            self._build_requirements(context, at_s),
-            excluded=tried,
-            first_event_time_left_s=None,
-            is_resubmission=False,
+    def _build_guard(self, context: _RequestContext, sent: SentRequest) -> AttemptGuard:
+        return AttemptGuard(
+            self.placement,
+            sent,
+            context.state,
+            self._version_deadline(context.request),
+            lambda at_s: self._build_requirements(context, at_s),
+            lambda at_s: self._budgets.can_consume(context.service, self.count_entries(), at_s),
         )
-        if isinstance(self.placement.choose(requirements, at_s), Refusal):
-            return False
-        self.placement.avoid(sent.upstream_id, at_s, UNRESPONSIVE_PAUSE_S)
-        return True
 
     def _version_deadline(self, request: DirectRequest) -> Callable[[int], float] | None:
         if request.prompt is None:
@@ -311,17 +302,16 @@
         request, runner, summary = context.request, context.runner, context.summary
         started_s = now_s()
         in_flight = round(self.placement.in_flight(upstream.id, started_s))
-        version = self.placement.version_of(upstream, started_s)
-        version_ends_s = self._version_end_s(request, upstream, version)
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, started_s)
+        version_ends_s = self._version_end_s(request, upstream, sent.version)
         try:
             result = runner.run(
                 upstream,
                 workspace,
                 self._priority(workspace, context.route),
                 sent,
-                lambda: self._should_abort(context, sent),
+                self._build_guard(context, sent).check,
                 lambda answer: self._record_notices(upstream, answer),
             )
         finally:
@@ -337,7 +327,7 @@
             result.reason,
             result.status,
             in_flight,
-            version,
+            sent.version,
             now_s() - started_s,
             version_ends_s - started_s if version_ends_s < float("inf") else -1.0,
             sent.first_received_s - started_s if sent.first_received_s is not None else -1.0,
@@ -404,7 +394,7 @@
             return
         if result.end is AttemptEnd.CONNECT_FAILED:
             self.placement.avoid(upstream.id, at_s)
-        if result.end is not AttemptEnd.REFUSED_AT_GATE:
+        if result.end not in _ENDS_WITHOUT_FAULT:
             self.placement.record_failure(upstream.id, at_s)
         if result.was_reset and result.end is not AttemptEnd.CONNECT_FAILED:
             self._record_crash_if_down(request, upstream)
--- a/daisystack/tests/test_version_end.py
+++ b/daisystack/tests/test_version_end.py
@@ -28,6 +28,7 @@
 # Time until version 1 ends when a request is sent; just enough for an engine that looks idle.
 LEFT_S = 1.7
 REPORT_INTERVAL_S = 0.1
+TRICKLE_INTERVAL_S = 0.05
 PLAIN_FIELDS = {"service": "llm", "has_engine": True, "slots": 16, "started_ms": 7}
 
 
@@ -50,6 +51,17 @@
         sock.recv(1)
         self.closed_s.append(now_s())
 
+    def trickle(self, sock):
+        """Send a head that never ends, byte by byte, until the connection is closed."""
+        self.received_requests.append(read_request(sock).lower())
+        try:
+            sock.sendall(b"HTTP/1.1 200 OK\r\nA: ")
+            while True:
+                eventlet.sleep(TRICKLE_INTERVAL_S)
+                sock.sendall(b"a")
+        except OSError:
+            self.closed_s.append(now_s())
+
     def answer(self, sock):
         self.received_requests.append(read_request(sock).lower())
         events = b"".join(chunk(event(n)) for n in (1, 2))
@@ -76,8 +88,10 @@
 class TestWaitingAtTheEnd(unittest.TestCase):
     """An engine keeps a request in its queue for longer than predicted, past the version's end."""
 
-    def serve(self, learned_after_s=0.0, left_s=LEFT_S, **options):
+    def serve(self, learned_after_s=0.0, left_s=LEFT_S, is_trickling=False, **options):
         site = Site(self)
+        if is_trickling:
+            site.servers[0].scripts = [site.trickle]
         requests = site.build(**options)
         reporter = eventlet.spawn(site.report, requests)
         self.addCleanup(reporter.kill)
@@ -90,7 +104,7 @@
         responder = RecordingResponder()
         requests.handle(build_inbound(daisystack_tokens="100"), responder)
         answered_s = now_s()
-        eventlet.sleep(0.05)
+        eventlet.sleep(2 * TRICKLE_INTERVAL_S)
         self.assertEqual(len(site.closed_s), 1)
         return site, responder, site.closed_s[0] - ends_s, answered_s - ends_s
 
@@ -106,6 +120,12 @@
         self.assertLess(closed_s, -0.2)
         self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
 
+    # Bytes that are no event kept the check from running.
+    def test_request_leaves_an_engine_that_sends_bytes_but_no_event(self):
+        _, responder, closed_s, _ = self.serve(is_trickling=True)
+        self.assertLess(closed_s, 0.0)
+        self.assertEqual((responder.body, responder.is_done), (event(1) + event(2), True))
+
     # The engine may have begun it, so it is neither repeated nor said not to have run.
     def test_non_repeatable_request_leaves_the_queue_and_is_not_repeated(self):
         site, responder, closed_s, answered_s = self.serve(is_resumable=False)
