Count a version found by a poll from the poll before, however old mirrors may be

Callers could see: answers of a version that had expired, on deployments with longer bounds for publications. Cause: a bound kept as a constant. A poll's finding counted from the poll before, but from 2 s ago at most; since mirrors may be as old as 2.4 s at a bound of 3 s and 3.0 s at 4 s, so the end of a version was 0.4 and 1.0 s late there. Ruled out: no limit at all, as after an outage of the store an old version would end at once with its return, for nothing. Change: the limit is the publication bound of the settings, for entries and agents. Tests: three cases of test_direct_entry were red (2.0 for 2.4 and 3.0 s; 2.0 for 3.0 s after an outage) and are green. Conclusion: at a bound of 2 s nothing changes.

--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -54,5 +54,7 @@
     service: str
     link_bytes_per_s: float
     metrics_address: str
+    # A publication must be in force within this time.
+    publication_bound_s: float
     version_bound_s: float
     stop_grace_s: float
--- a/daisystack/core/targets.py
+++ b/daisystack/core/targets.py
@@ -4,12 +4,9 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["LONG_AGO_S", "MAX_LEARNING_DELAY_S", "Targets", "WeightTarget"]
+__all__ = ["LONG_AGO_S", "Targets", "WeightTarget"]
 
 LONG_AGO_S = float("-inf")
-# A connected process learns of a version within this time, so a version that it missed is
-# at most this much older than the one that it learned of next.
-MAX_LEARNING_DELAY_S = 2.0
 # An engine loads for some tenths of a second, and gets no requests in the last second or more of a
 # version.
 MIN_USABLE_S = 2.0
@@ -27,6 +24,9 @@
 class Targets:
     """Wanted versions of each model and when they were learned; the newest never decreases."""
 
+    # A connected process learns of a version within this time, so a version that it missed is
+    # at most this much older than the one that it learned of next.
+    max_learning_delay_s: float = 2.0
     _learned_s: dict[str, dict[int, float]] = field(factory=dict)
 
     def learn(self, target: WeightTarget, learned_s: float) -> bool:
@@ -39,7 +39,7 @@
         learned = self._learned_s.setdefault(target.model, {})
         if target.version > newest + 1 and newest > 0 and learned_s != LONG_AGO_S:
             # The skipped versions were published at an unknown time before this one.
-            learned.setdefault(newest + 1, learned_s - MAX_LEARNING_DELAY_S)
+            learned.setdefault(newest + 1, learned_s - self.max_learning_delay_s)
         known_s = learned.get(target.version)
         if known_s is None or LONG_AGO_S < learned_s < known_s:
             learned[target.version] = learned_s
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -19,6 +19,7 @@
 from daisystack.core.placement import Placement
 from daisystack.core.readers import MAX_READER_RANK, mirror_bound_s
 from daisystack.core.stopping import StopTimes
+from daisystack.core.targets import Targets
 from daisystack.core.traffic import CallerLimits
 from daisystack.core.upstream_pauses import UpstreamPauses
 from daisystack.runtime.caller_http import CallerServer
@@ -84,7 +85,8 @@
         pauses = UpstreamPauses(self.settings.publication_bound_s)
         zone = self.settings.identity.zone
         self.placement = Placement(random.SystemRandom(), engines, pauses=pauses, zone=zone)
-        self.published = PublishedState(self.reader, self.placement)
+        targets = Targets(self.settings.publication_bound_s)
+        self.published = PublishedState(self.reader, self.placement, targets)
         hold = CrashHold()
         self.mesh = MeshTask(
             self._build_own_member(),
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -11,12 +11,7 @@
 from daisystack.backends import InvalidPublication, PublicationReader
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import DirectUpstream, Placement
-from daisystack.core.targets import (
-    LONG_AGO_S,
-    MAX_LEARNING_DELAY_S,
-    Targets,
-    WeightTarget,
-)
+from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.core.traffic import TrafficPolicy
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import (
@@ -131,7 +126,7 @@
         at_s = now_s()
         if self._changed_after_s is None:
             return at_s
-        return max(self._changed_after_s, at_s - MAX_LEARNING_DELAY_S)
+        return max(self._changed_after_s, at_s - self.targets.max_learning_delay_s)
 
     def _add_target(self, target: WeightTarget, learned_s: float, revision: int) -> None:
         if not self.targets.learn(target, learned_s):
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -15,7 +15,7 @@
 from daisystack.core.engine_status import EngineStatus, ReportPacer
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.rollout_schedule import RolloutSchedule, order_time_s
-from daisystack.core.targets import WeightTarget
+from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.version_choice import VersionChoice
 from daisystack.core.weight_pieces import EngineState, PieceList, piece_matches
 from daisystack.runtime.clock import new_incarnation, now_s
@@ -117,7 +117,8 @@
             zone=identity.zone,
             region=identity.region,
         )
-        self.mesh = MeshTask(own, identity.seeds, (), lambda mirror, changes: None)
+        targets = Targets(self.settings.publication_bound_s)
+        self.mesh = MeshTask(own, identity.seeds, (), lambda mirror, changes: None, targets=targets)
         self.piece_source = PieceSource(identity.zone, self._entries)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -29,11 +29,11 @@
         return (int(value),)
 
 
-def build_entry():
+def build_entry(publication_bound_s=2.0):
     addresses = [free_address() for _ in range(6)]
-    settings = DirectEntrySettings(
-        ProcessIdentity("e1", "z1", "r1", ()), *addresses, 1.0, 8.0, 2.0, 5.0, 8.0, 0.2, 100.0, 10.0
-    )
+    bounds_s = (1.0, 8.0, publication_bound_s, 5.0, 8.0)
+    identity = ProcessIdentity("e1", "z1", "r1", ())
+    settings = DirectEntrySettings(identity, *addresses, *bounds_s, 0.2, 100.0, 10.0)
     return DirectEntry(settings, "op/", "up/", None, Reader(), PlainDialect(), None)
 
 
@@ -61,10 +61,10 @@
 class TestLearning(unittest.TestCase):
     """Requests may begin on a version for a bounded time after the next one was published."""
 
-    def learned_ages(self, apply):
-        entry = build_entry()
+    def learned_ages(self, apply, confirmed_age_s=1.5, publication_bound_s=2.0):
+        entry = build_entry(publication_bound_s)
         mirror = entry.mirrors["op/"]
-        first = Snapshot((Change("op/v", 1, b"1"),), 1, now_s() - 1.5)
+        first = Snapshot((Change("op/v", 1, b"1"),), 1, now_s() - confirmed_age_s)
         entry.published.apply_changes(mirror, mirror.apply_snapshot(first))
         entry.published.apply_changes(mirror, apply(mirror))
         self.assertEqual(entry.published.targets.version("m"), 2)
@@ -76,6 +76,26 @@
         age_s = self.learned_ages(lambda m: m.apply_snapshot(Snapshot(changes, 2, now_s())))
         self.assertAlmostEqual(age_s, 1.5, delta=0.1)
 
+    # With longer bounds mirrors may be three seconds old, but a poll counted two at most.
+    def test_a_version_found_by_a_poll_of_an_old_mirror_counts_from_the_poll_before(self):
+        changes = (Change("op/v", 2, b"2"),)
+        for confirmed_age_s, publication_bound_s in [(1.8, 2.0), (2.4, 3.0), (3.0, 4.0)]:
+            with self.subTest(publication_bound_s=publication_bound_s):
+                age_s = self.learned_ages(
+                    lambda m: m.apply_snapshot(Snapshot(changes, 2, now_s())),
+                    confirmed_age_s,
+                    publication_bound_s,
+                )
+                self.assertAlmostEqual(age_s, confirmed_age_s, delta=0.1)
+
+    def test_a_version_found_after_an_outage_counts_for_the_publication_bound(self):
+        """The store was away for 30 s; the old version must not end at once with its return."""
+        changes = (Change("op/v", 2, b"2"),)
+        age_s = self.learned_ages(
+            lambda m: m.apply_snapshot(Snapshot(changes, 2, now_s())), 30.0, 3.0
+        )
+        self.assertAlmostEqual(age_s, 3.0, delta=0.1)
+
     def test_a_version_found_by_a_watch_counts_from_now(self):
         age_s = self.learned_ages(lambda m: m.apply_events([Change("op/v", 2, b"2")]))
         self.assertLess(age_s, 0.1)
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -118,7 +118,7 @@
         serve_peers(parse_address(address), MeshHandler(mesh, self.pieces))
         identity = ProcessIdentity("a1", "z1", "r1", (address,))
         settings = WeightAgentSettings(
-            identity, free_address(), free_address(), "pool", 0.0, "", VERSION_BOUND_S, 8.0
+            identity, free_address(), free_address(), "pool", 0.0, "", 2.0, VERSION_BOUND_S, 8.0
         )
         self.agent = WeightAgent(settings, engine)
         self.agent.mesh.membership.apply_update(member, 0.0, now_s() + 60.0)
