Check key, upstream and version again when a connection is open, before a request is sent

Callers could see: a revoked key served, a request at an upstream that had left, a start on an expired version. Between the choice of an upstream and the first byte lies a connect of up to 0.4 s, and a process may be paused there for any time; keys, the record of the upstream, its pauses and its version were checked before it only. Ruled out: routes and limits, which hold for the request as the caller sent it; deadlines, which the upstream gets as time left. Change: AttemptGuard.check_send runs between connect and send. An attempt that may not be sent ends as not_sent, which counts as not run; the next attempt's own checks answer the caller (401, 503) or choose another upstream. Conclusion: the window is now the time between two statements. A pause exactly there is not covered.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -501,6 +501,13 @@
             return True
         return upstream.has_engine and self._is_unresponsive(upstream, now_s)
 
+    def may_send(self, upstream: DirectUpstream, now_s: float) -> bool:
+        """Return whether the incarnation that was chosen may still get requests."""
+        present = self._upstreams.get(upstream.id)
+        if present is None or not present.is_ready or present.started_ms != upstream.started_ms:
+            return False
+        return not self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s)
+
     def start_deadline_s(
         self,
         sent: SentRequest,
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -24,6 +24,8 @@
     HELD = "held"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     CONNECT_FAILED = "connect_failed"
+    # Something that allowed the request changed while the connection was opened.
+    NOT_SENT = "not_sent"
     REFUSED_AT_GATE = "refused_at_gate"
     # The connection lost the request, and its ticket is sealed.
     NEVER_ARRIVED = "never_arrived"
@@ -49,6 +51,7 @@
         AttemptEnd.SHED,
         AttemptEnd.DEADLINE_IN_QUEUE,
         AttemptEnd.CONNECT_FAILED,
+        AttemptEnd.NOT_SENT,
         AttemptEnd.REFUSED_AT_GATE,
         AttemptEnd.NEVER_ARRIVED,
     }
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -1,4 +1,4 @@
-"""Check an attempt while it waits for its upstream, and end it when it must not go on."""
+"""Check an attempt before it is sent and while it waits, and end it when it must not go on."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from daisystack.core.placement import (
     UNRESPONSIVE_PAUSE_S,
+    DirectUpstream,
     Placement,
     PlacementRequirements,
     Refusal,
@@ -25,9 +26,10 @@
 
 @define(eq=False)
 class AttemptGuard:
-    """Checks of one attempt that has been sent."""
+    """Checks of one attempt."""
 
     placement: Placement
+    upstream: DirectUpstream
     sent: SentRequest
     state: RequestState
     # Returns until when a request may begin on a version; None if its versions never end.
@@ -35,18 +37,34 @@
     # Builds what another attempt would require at a time.
     build_requirements: Callable[[float], PlacementRequirements]
     can_retry: Callable[[float], bool]
+    # Whether the caller's key still allows the request, as it will be sent.
+    is_authorized: Callable[[], bool]
 
-    def check(self) -> None:
+    def check_send(self) -> None:
+        """Raise AttemptFailed if the request may no longer be sent; no byte of it was."""
+        at_s = now_s()
+        if not self.is_authorized():
+            raise AttemptFailed(AttemptEnd.NOT_SENT, "its key is no longer confirmed")
+        if not self.placement.may_send(self.upstream, at_s):
+            raise AttemptFailed(AttemptEnd.NOT_SENT, "its upstream accepts no more requests")
+        if self._must_withdraw(at_s):
+            raise AttemptFailed(AttemptEnd.NOT_SENT, "its version ends before it can begin")
+
+    def check_wait(self) -> None:
         """Raise AttemptFailed if the attempt must end before its answer is complete."""
         at_s = now_s()
-        if not self.sent.is_prefilled:
-            deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, at_s)
-            if must_withdraw(self.sent, deadline_s, at_s):
-                raise AttemptFailed(AttemptEnd.WITHDRAWN, "its version ends before it has begun")
+        if self._must_withdraw(at_s):
+            raise AttemptFailed(AttemptEnd.WITHDRAWN, "its version ends before it has begun")
         if self._can_leave_stuck(at_s):
             end = AttemptEnd.ANSWER_CUT if self.sent.is_prefilled else AttemptEnd.NO_ANSWER
             raise AttemptFailed(end, "its machine stands still")
 
+    def _must_withdraw(self, now_s: float) -> bool:
+        if self.sent.is_prefilled:
+            return False
+        deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, now_s)
+        return must_withdraw(self.sent, deadline_s, now_s)
+
     def _can_leave_stuck(self, now_s: float) -> bool:
         """Return whether an attempt is stuck and another upstream can accept its request now.
 
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -12,6 +12,7 @@
 from daisystack.core.placement import DirectUpstream, SentRequest
 from daisystack.core.traffic import RequestKind, Route, Workspace
 from daisystack.core.verdicts import AttemptEnd
+from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import Responder
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_http import DirectExchange
@@ -71,20 +72,20 @@
         upstream: DirectUpstream,
         workspace: Workspace | None,
         priority: int | None,
-        sent: SentRequest,
-        check_wait: Callable[[], None],
+        guard: AttemptGuard,
         on_answer: Callable[[DirectAnswer], None],
     ) -> AttemptResult:
         """Send the request to an upstream and relay the response.
 
-        check_wait may raise AttemptFailed while the attempt waits. on_answer gets the head of the
-        response, before any of it reaches the caller.
+        The guard may end the attempt before it is sent and while it waits. on_answer gets the head
+        of the response, before any of it reaches the caller.
         """
-        self._sent = sent
+        self._sent = guard.sent
         self._on_answer = on_answer
-        exchange = DirectExchange(upstream.address, self.deadline_s, check_wait)
+        exchange = DirectExchange(upstream.address, self.deadline_s, guard.check_wait)
         try:
             exchange.connect()
+            guard.check_send()
             self._send(exchange, upstream, workspace, priority)
             return self._receive_answer(exchange)
         except AttemptFailed as failure:
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -70,7 +70,9 @@
 ANSWER_MARGIN_S = 0.02
 
 # Ends of an attempt that say nothing against its upstream.
-_ENDS_WITHOUT_FAULT = frozenset({AttemptEnd.REFUSED_AT_GATE, AttemptEnd.WITHDRAWN})
+_ENDS_WITHOUT_FAULT = frozenset(
+    {AttemptEnd.REFUSED_AT_GATE, AttemptEnd.NOT_SENT, AttemptEnd.WITHDRAWN}
+)
 
 _logger = logging.getLogger("daisystack.requests")
 
@@ -279,16 +281,34 @@
             is_bulk_failover=not is_first,
         )
 
-    def _build_guard(self, context: _RequestContext, sent: SentRequest) -> AttemptGuard:
+    def _build_guard(
+        self,
+        context: _RequestContext,
+        upstream: DirectUpstream,
+        workspace: Workspace | None,
+        sent: SentRequest,
+    ) -> AttemptGuard:
         return AttemptGuard(
             self.placement,
+            upstream,
             sent,
             context.state,
             self._version_deadline(context.request),
             lambda at_s: self._build_requirements(context, at_s),
             lambda at_s: self._budgets.can_consume(context.service, self.count_entries(), at_s),
+            lambda: self._is_authorized(context, workspace),
         )
 
+    def _is_authorized(self, context: _RequestContext, workspace: Workspace | None) -> bool:
+        """Return whether the key still is that of the workspace, confirmed recently enough."""
+        try:
+            return workspace == self._authorize(
+                self._current_policy(), context.route, context.request
+            )
+        except _LocalAnswer:
+            # The next attempt's own check answers the caller.
+            return False
+
     def _version_deadline(self, request: DirectRequest) -> Callable[[int], float] | None:
         if request.prompt is None:
             return None
@@ -310,8 +330,7 @@
                 upstream,
                 workspace,
                 self._priority(workspace, context.route),
-                sent,
-                self._build_guard(context, sent).check,
+                self._build_guard(context, upstream, workspace, sent),
                 lambda answer: self._record_notices(upstream, answer),
             )
         finally:
