Expect the unseen requests of a zone at the engines that can get them

Callers saw: at the end of a version 40 requests reached an engine with 12 slots within a second; they waited 2.26 s. Cause: the requests of other entries that a report lacks were divided by all engines of a zone, also by those whose version had ended or that were loading, so the estimate was too low by that factor when few engines were left. Ruled out: the reports' age, which the estimate takes into account. Change: the engines that were eligible for the latest first attempt count; where a zone has none of its own, its entries count at the engines of the others.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -196,7 +196,9 @@
     _sending_entries: int = 0
     # When this entry sent its recent requests to each service with engines.
     _sent_s: dict[str, deque[float]] = field(factory=dict)
-    _engine_counts: dict[tuple[str, str], int] = field(factory=dict)
+    # By service and zone, all engines, and those that could get the latest first attempt.
+    _engine_counts: dict[str, Counter[str]] = field(factory=dict)
+    _eligible_counts: dict[str, Counter[str]] = field(factory=dict)
 
     def update_upstream(self, upstream: DirectUpstream) -> None:
         """Store the published record of an upstream."""
@@ -308,14 +310,25 @@
         if not sent_s or not self._sending_entries:
             return 0.0
         rate_per_s = len(sent_s) / SEND_RATE_WINDOW_S
-        engines = max(1, self._engine_counts.get((upstream.service, upstream.zone), 1))
-        return UNSEEN_FACTOR * rate_per_s * self._sending_entries * max(0.0, age_s) / engines
+        counts = self._eligible_counts.get(upstream.service) or self._engine_counts.get(
+            upstream.service, {}
+        )
+        share = 1.0 / max(1, counts.get(upstream.zone, 1))
+        if upstream.zone != self.zone and self.zone and counts and self.zone not in counts:
+            # Without an engine of their own zone, its entries send to all others.
+            share += 1.0 / sum(counts.values())
+        return UNSEEN_FACTOR * rate_per_s * self._sending_entries * max(0.0, age_s) * share
 
     def _count_engines(self) -> None:
-        """Count the engines of each service and zone."""
-        self._engine_counts = Counter(
-            (u.service, u.zone) for u in self._upstreams.values() if u.has_engine and u.is_ready
-        )
+        """Count the engines of each service by zone."""
+        self._engine_counts = {}
+        for upstream in self._upstreams.values():
+            if upstream.has_engine and upstream.is_ready:
+                self._engine_counts.setdefault(upstream.service, Counter())[upstream.zone] += 1
+
+    def _count_eligible(self, service: str, eligible: Iterable[DirectUpstream]) -> None:
+        """Count by zone the engines to which requests for a service go now."""
+        self._eligible_counts[service] = Counter(u.zone for u in eligible if u.has_engine)
 
     def predict_first_event_s(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
@@ -366,6 +379,8 @@
         ]
         if not eligible:
             return self._refuse_without_upstream(requirements, now_s)
+        if requirements.exact_version is None and not requirements.excluded:
+            self._count_eligible(requirements.service, eligible)
         preferred = [u for u in eligible if not self._is_avoided(u, now_s)] or eligible
         available = [u for u in preferred if self._has_capacity(u, requirements, now_s)]
         if not available:
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -140,6 +140,43 @@
         self.assertLessEqual(max(counts.values()), 2 * 24 / 6)
 
 
+class TestFewEnginesLeft(unittest.TestCase):
+    """End of a version: all entries of a zone turn to the few engines that hold the next one."""
+
+    ENTRIES = 12
+    SENT_BEFORE = 4
+
+    def build(self, zone_of_next):
+        engines = [build_engine(f"old{i}", zone="z1", version=1, slots=12) for i in range(8)]
+        engines += [
+            build_engine(f"next{i}", zone=zone_of_next, version=2, slots=12) for i in range(2)
+        ]
+        placement = build_placement(*engines)
+        placement.zone = "z1"
+        for other in range(self.ENTRIES - 1):
+            placement.update_entry_counts(f"e{other}", "z1", {"old1": 4}, 9.9)
+        for n in range(self.SENT_BEFORE):
+            placement.end(placement.begin(f"old{n}", 1000, 8.5 + 0.1 * n), 9.8)
+        for engine in engines:
+            status = build_engine_status(engine.id, 9.9, version=engine.version, running=2)
+            placement.engines.update(status)
+        return placement
+
+    # Forty requests reached an engine with twelve slots before its next report.
+    def test_requests_of_all_entries_are_expected_at_the_engines_left(self):
+        ends_s = {1: 10.0, 2: 18.0}
+        prompt = attrs.evolve(PROMPT, version_deadline_s=ends_s.__getitem__)
+        for zone in ("z1", "z2"):
+            with self.subTest(zone=zone):
+                placement = self.build(zone)
+                chosen = placement.choose(prompt, 10.1)
+                self.assertIn(chosen.id, ("next0", "next1"))
+                rate_per_s = self.SENT_BEFORE / SEND_RATE_WINDOW_S
+                all_entries = rate_per_s * (self.ENTRIES - 1) * 0.2
+                unseen = placement.in_flight(chosen.id, 10.1) - 2
+                self.assertGreaterEqual(unseen, all_entries / 2)
+
+
 class TestSlowEngines(unittest.TestCase):
     """Engines that turn slow: their agents report it, and work goes elsewhere before it is late."""
 
