Let a request with a key go on when its workspace got another key meanwhile

Callers could see: 503 for a valid key, when a configuration that added a key to their workspace came in force during a connect. Ruled out: a revoked key, which the same check still stops (test_revoked_key_is_not_used). Change: the names are compared. Test: red with 503 before, green.

--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -302,12 +302,11 @@
     def _is_authorized(self, context: _RequestContext, workspace: Workspace | None) -> bool:
         """Return whether the key still is that of the workspace, confirmed recently enough."""
         try:
-            return workspace == self._authorize(
-                self._current_policy(), context.route, context.request
-            )
+            present = self._authorize(self._current_policy(), context.route, context.request)
         except _LocalAnswer:
             # The next attempt's own check answers the caller.
             return False
+        return (present.name if present else None) == (workspace.name if workspace else None)
 
     def _version_deadline(self, request: DirectRequest) -> Callable[[int], float] | None:
         if request.prompt is None:
--- a/daisystack/tests/test_attempt_guard.py
+++ b/daisystack/tests/test_attempt_guard.py
@@ -78,6 +78,16 @@
         responder, received = self.serve(revoke)
         self.assertEqual((responder.status, received), (401, {"u1": 0, "u2": 0}))
 
+    # A configuration that added a key to the workspace stopped requests with its other keys.
+    def test_key_of_a_workspace_that_got_another_key_is_used(self):
+        def add_key():
+            workspace = Workspace("dealers", frozenset({"k1", "k2"}))
+            route = build_route(RequestKind.UNSAFE, is_public=False)
+            self.requests.published.policy = build_policy(route, (workspace,))
+
+        responder, received = self.serve(add_key)
+        self.assertEqual((responder.status, received), (200, {"u1": 1, "u2": 0}))
+
     # A process that was paused between its check and the send used keys that were too old.
     def test_key_that_was_not_confirmed_for_too_long_is_not_used(self):
         def pause():
