Keep an answer that is no event stream when its version ends while it arrives

Callers could see: 502 for an answer of which head and a part had come. Cause: only events marked an answer as begun, and answers that are read whole have none; found by review. Ruled out: marking streams by their head too, as a stream's head need not mean that its engine has begun. Change: the head of an answer that is read whole marks it.

--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -136,6 +136,8 @@
         return self._forward_buffered(exchange, answer)
 
     def _forward_buffered(self, exchange: DirectExchange, answer: DirectAnswer) -> AttemptResult:
+        # Its upstream has begun; a stream shows that by its first event.
+        self._sent.record_received(now_s())
         body = exchange.read_body()
         if answer.status >= FIRST_SERVER_ERROR or self.has_started:
             self.failed_answer = _FailedAnswer(answer, body)
--- a/daisystack/tests/test_version_end.py
+++ b/daisystack/tests/test_version_end.py
@@ -142,5 +142,67 @@
         self.assertEqual(len(site.received_requests), 1)
 
 
+class TestBegunAnswers(unittest.TestCase):
+    """What an engine has begun, or will begin on a newer version, stays there."""
+
+    def serve(self, script, reported_version=lambda age_s: 1, ends=((2, LEFT_S),), **options):
+        """Return the responder and when it was answered, relative to the first end."""
+        site = Site(self)
+        site.servers[0].scripts = [script]
+        requests = site.build(**options)
+        started_s = now_s()
+
+        def report():
+            while True:
+                versions = (reported_version(now_s() - started_s), 3)
+                for upstream, version in zip(site.upstreams, versions, strict=True):
+                    status = build_engine_status("x", now_s(), version=version)
+                    status = attrs.evolve(status, address=upstream.address)
+                    requests.placement.engines.update(status)
+                eventlet.sleep(REPORT_INTERVAL_S)
+
+        reporter = eventlet.spawn(report)
+        self.addCleanup(reporter.kill)
+        eventlet.sleep(0)
+        for version, left_s in ends:
+            learned_s = started_s + left_s - requests.settings.version_bound_s
+            requests.published.targets.learn(WeightTarget("m", version), learned_s)
+        responder = RecordingResponder()
+        requests.handle(build_inbound(daisystack_tokens="100"), responder)
+        return responder, now_s() - started_s - ends[0][1]
+
+    # An answer that is no event stream was cut, though its head had come.
+    def test_plain_answer_that_has_begun_is_kept(self):
+        def script(sock):
+            read_request(sock)
+            head = b"HTTP/1.1 200 OK\r\nDaisystack-Mark: m\r\nContent-Length: 4\r\n\r\n"
+            sock.sendall(head + b"ab")
+            eventlet.sleep(LEFT_S + 0.5)
+            sock.sendall(b"cd")
+
+        responder, _ = self.serve(script, is_resumable=False)
+        self.assertEqual((responder.status, responder.body), (200, b"abcd"))
+
+    def test_request_stays_at_an_engine_that_has_loaded_the_next_version(self):
+        def script(sock):
+            read_request(sock)
+            eventlet.sleep(LEFT_S + 0.7)
+            sock.sendall(HEAD % 2 + chunk(event(1)) + b"0\r\n\r\n")
+
+        responder, _ = self.serve(script, lambda age_s: 1 if age_s < 0.5 else 2)
+        self.assertEqual((responder.body, responder.is_done), (event(1), True))
+
+    def test_request_leaves_the_queue_before_an_intermediate_version_ends(self):
+        def wait(sock):
+            read_request(sock)
+            sock.recv(1)
+
+        ends = ((2, LEFT_S), (3, LEFT_S + 0.6))
+        responder, answered_s = self.serve(wait, lambda age_s: 1 if age_s < 0.5 else 2, ends)
+        self.assertTrue(responder.is_done)
+        self.assertGreater(answered_s, -0.2)
+        self.assertLess(answered_s, 0.6 - 0.2)
+
+
 if __name__ == "__main__":
     unittest.main()
