Hold requests without a prompt to the end of their engine's version too

Callers could see: an answer of an expired version for a request that states no model. Cause: the end of a version was looked up by the model in the request only; without one there was no end, when an engine was chosen as while the request waited. Found by review. Ruled out: plain services, which have no versions. Change: the model of the service's engines is used then.

--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -272,7 +272,7 @@
             service=context.service,
             zone=self.settings.zone,
             exact_version=context.runner.exact_version,
-            version_deadline_s=self._version_deadline(request),
+            version_deadline_s=self._version_deadline(context),
             excluded=context.state.tried_upstreams(),
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             answer_tokens=prompt.expected_answer_tokens if prompt else 0,
@@ -293,7 +293,7 @@
             upstream,
             sent,
             context.state,
-            self._version_deadline(context.request),
+            self._version_deadline(context),
             lambda at_s: self._build_requirements(context, at_s),
             lambda at_s: self._budgets.can_consume(context.service, self.count_entries(), at_s),
             lambda: self._is_authorized(context, workspace),
@@ -308,10 +308,16 @@
             return False
         return (present.name if present else None) == (workspace.name if workspace else None)
 
-    def _version_deadline(self, request: DirectRequest) -> Callable[[int], float] | None:
-        if request.prompt is None:
+    def _version_deadline(self, context: _RequestContext) -> Callable[[int], float] | None:
+        """Return what tells until when a request may start on a version; None for plain services.
+
+        A request that names no model gets the one of its service's engines.
+        """
+        profile = self.placement.profiles.get(context.service)
+        prompt = context.request.prompt
+        model = prompt.model if prompt else (profile.model if profile else "")
+        if not model:
             return None
-        model = request.prompt.model
         bound_s = self.settings.version_bound_s
         return lambda version: self.published.targets.usable_until_s(model, version, bound_s)
 
@@ -323,7 +329,7 @@
         in_flight = round(self.placement.in_flight(upstream.id, started_s))
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, started_s)
-        version_ends_s = self._version_end_s(request, upstream, sent.version)
+        version_ends_s = self._version_end_s(context, upstream, sent.version)
         try:
             result = runner.run(
                 upstream,
@@ -357,10 +363,10 @@
         return AttemptOutcome(result.end, upstream.id, reason=result.reason)
 
     def _version_end_s(
-        self, request: DirectRequest, upstream: DirectUpstream, version: int
+        self, context: _RequestContext, upstream: DirectUpstream, version: int
     ) -> float:
         """Return until when a request may start on an engine's version; inf without a limit."""
-        deadline = self._version_deadline(request)
+        deadline = self._version_deadline(context)
         return deadline(version) if deadline and upstream.has_engine else float("inf")
 
     def _report_expired_start(
@@ -373,7 +379,7 @@
         version = context.runner.exact_version
         if sent.first_received_s is None or version is None:
             return
-        late_s = sent.first_received_s - self._version_end_s(context.request, upstream, version)
+        late_s = sent.first_received_s - self._version_end_s(context, upstream, version)
         if late_s <= 0:
             return
         expired = ExpiredVersionStarted(
--- a/daisystack/tests/test_version_end.py
+++ b/daisystack/tests/test_version_end.py
@@ -28,6 +28,7 @@
 # Time until version 1 ends when a request is sent; just enough for an engine that looks idle.
 LEFT_S = 1.7
 REPORT_INTERVAL_S = 0.1
+PROMPT_HEADERS = {"daisystack_tokens": "100"}
 TRICKLE_INTERVAL_S = 0.05
 PLAIN_FIELDS = {"service": "llm", "has_engine": True, "slots": 16, "started_ms": 7}
 
@@ -145,7 +146,14 @@
 class TestBegunAnswers(unittest.TestCase):
     """What an engine has begun, or will begin on a newer version, stays there."""
 
-    def serve(self, script, reported_version=lambda age_s: 1, ends=((2, LEFT_S),), **options):
+    def serve(
+        self,
+        script,
+        reported_version=lambda age_s: 1,
+        ends=((2, LEFT_S),),
+        headers=PROMPT_HEADERS,
+        **options,
+    ):
         """Return the responder and when it was answered, relative to the first end."""
         site = Site(self)
         site.servers[0].scripts = [script]
@@ -168,7 +176,7 @@
             learned_s = started_s + left_s - requests.settings.version_bound_s
             requests.published.targets.learn(WeightTarget("m", version), learned_s)
         responder = RecordingResponder()
-        requests.handle(build_inbound(daisystack_tokens="100"), responder)
+        requests.handle(build_inbound(**headers), responder)
         return responder, now_s() - started_s - ends[0][1]
 
     # An answer that is no event stream was cut, though its head had come.
@@ -192,6 +200,16 @@
         responder, _ = self.serve(script, lambda age_s: 1 if age_s < 0.5 else 2)
         self.assertEqual((responder.body, responder.is_done), (event(1), True))
 
+    # A request that states no prompt was held to no end at all.
+    def test_request_without_a_prompt_leaves_the_queue(self):
+        def wait(sock):
+            read_request(sock)
+            sock.recv(1)
+
+        responder, answered_s = self.serve(wait, headers={})
+        self.assertTrue(responder.is_done)
+        self.assertLess(answered_s, -0.2)
+
     def test_request_leaves_the_queue_before_an_intermediate_version_ends(self):
         def wait(sock):
             read_request(sock)
