Give engines the end of their version as deadline where an answer fits before it

Ruled out: a wider margin for all, which costs every engine usable time and is a guess again. Change: an engine gets the end of its version as deadline if even a long answer should be complete by then; it then turns the request away by itself, which is a true "not run". Other requests go only to an engine of the entry's zone that has a free slot, so that they begin at once and a close is near. Conclusion: the bound is held by the engine where that costs nothing; the rest relies on closes within a zone.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -60,6 +60,8 @@
 # after a pause of its machine, their requests wait up to a second longer than predicted.
 START_WAIT_FACTOR = 2.0
 START_MARGIN_S = 1.2
+# Answers of an engine with full slots vary by this factor around the prediction.
+RUN_TIME_FACTOR = 1.5
 # Without reports from its agent, an engine's queue is unknown, and nothing orders it to load.
 NO_STATUS_MARGIN_S = 2.5
 # A late answer is worth a quarter of one in time, so resubmitted requests get free slots only.
@@ -115,6 +117,8 @@
     excluded: frozenset[str] = frozenset()
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    # The answer's longest possible length; 0 if unknown.
+    max_answer_tokens: int = 0
     # Time left until the first event counts as late; None if lateness no longer matters.
     first_event_time_left_s: float | None = None
     # The request was refused before, so its answer is already late.
@@ -441,7 +445,11 @@
         version: int,
         now_s: float,
     ) -> bool:
-        """Return whether a request starts, with a margin, before its engine's version expires."""
+        """Return whether a request surely starts before its engine's version expires.
+
+        The engine itself observes the end as a deadline if the answer should be complete by then.
+        Else the request must start at once, where a close reaches the engine soon.
+        """
         deadline_s = (
             requirements.version_deadline_s(version)
             if requirements.version_deadline_s
@@ -456,7 +464,41 @@
             and self.engines.uninterrupted_s(upstream.address, now_s) >= UNINTERRUPTED_AFTER_S
         )
         margin_s = START_MARGIN_S if is_monitored else NO_STATUS_MARGIN_S
-        return now_s + START_WAIT_FACTOR * expected_s + margin_s <= deadline_s
+        if now_s + START_WAIT_FACTOR * expected_s + margin_s > deadline_s:
+            return False
+        if self._ends_before(upstream, requirements, deadline_s, now_s):
+            return True
+        is_near = upstream.zone == requirements.zone
+        return is_near and self.in_flight(upstream.id, now_s) < upstream.slots
+
+    def _ends_before(
+        self,
+        upstream: DirectUpstream,
+        requirements: PlacementRequirements,
+        deadline_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether even a long answer should be complete before a deadline."""
+        profile = self.profiles.get(upstream.service)
+        if profile is None:
+            return False
+        load = self._engine_load(upstream, profile, now_s)
+        expected_s = predict_first_event_s(profile, load, requirements.prompt_tokens)
+        tokens = requirements.max_answer_tokens or requirements.answer_tokens
+        run_s = predict_service_time_s(profile, load, tokens)
+        end_s = now_s + START_WAIT_FACTOR * expected_s + RUN_TIME_FACTOR * run_s
+        return end_s <= deadline_s
+
+    def run_until_s(
+        self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
+    ) -> float:
+        """Return the deadline to give to an engine for the end of its version; inf for none."""
+        if not upstream.has_engine or requirements.version_deadline_s is None:
+            return float("inf")
+        deadline_s = requirements.version_deadline_s(self.version_of(upstream, now_s))
+        if self._ends_before(upstream, requirements, deadline_s, now_s):
+            return deadline_s
+        return float("inf")
 
     def _has_capacity(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -72,11 +72,13 @@
         upstream: DirectUpstream,
         workspace: Workspace | None,
         priority: int | None,
+        run_until_s: float,
         guard: AttemptGuard,
         on_answer: Callable[[DirectAnswer], None],
     ) -> AttemptResult:
         """Send the request to an upstream and relay the response.
 
+        The upstream gets run_until_s as its deadline if that is earlier than the request's own.
         The guard may end the attempt before it is sent and while it waits. on_answer gets the head
         of the response, before any of it reaches the caller.
         """
@@ -86,7 +88,7 @@
         try:
             exchange.connect()
             guard.check_send()
-            self._send(exchange, upstream, workspace, priority)
+            self._send(exchange, upstream, workspace, priority, run_until_s)
             return self._receive_answer(exchange)
         except AttemptFailed as failure:
             return AttemptResult(failure.end, failure.reason, 0, exchange.was_reset)
@@ -105,12 +107,13 @@
         upstream: DirectUpstream,
         workspace: Workspace | None,
         priority: int | None,
+        run_until_s: float,
     ) -> None:
         headers = self.dialect.write_request(
             self.request,
             upstream,
             workspace.name if workspace else None,
-            self.deadline_s - now_s(),
+            min(self.deadline_s, run_until_s) - now_s(),
             priority,
             self.exact_version,
             self._last_event_id.decode("latin-1") if self._last_event_id else None,
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -276,6 +276,7 @@
             excluded=context.state.tried_upstreams(),
             prompt_tokens=prompt.prompt_tokens if prompt else 0,
             answer_tokens=prompt.expected_answer_tokens if prompt else 0,
+            max_answer_tokens=prompt.max_answer_tokens if prompt else 0,
             first_event_time_left_s=max(0.0, left_s) if is_new else None,
             is_resubmission=is_first and summary.spent_before_s > 0.0,
             is_bulk_failover=not is_first,
@@ -330,11 +331,13 @@
         tokens = request.prompt.prompt_tokens if request.prompt else 0
         sent = self.placement.begin(upstream.id, tokens, started_s)
         version_ends_s = self._version_end_s(context, upstream, sent.version)
+        requirements = self._build_requirements(context, started_s)
         try:
             result = runner.run(
                 upstream,
                 workspace,
                 self._priority(workspace, context.route),
+                self.placement.run_until_s(upstream, requirements, started_s),
                 self._build_guard(context, upstream, workspace, sent),
                 lambda answer: self._record_notices(upstream, answer),
             )
--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -140,6 +140,39 @@
         self.assertLessEqual(max(counts.values()), 2 * 24 / 6)
 
 
+class TestEndOfVersion(unittest.TestCase):
+    """Last seconds of a version: answers that may last past its end begin at once or not there."""
+
+    def choose(self, left_s, zone="z1", running=0):
+        placement = build_placement(build_engine("a", zone=zone))
+        status = build_engine_status("a", 10.0, running=running)
+        placement.engines.update(status)
+        prompt = attrs.evolve(
+            PROMPT,
+            max_answer_tokens=400,
+            first_event_time_left_s=None,
+            version_deadline_s=lambda version: 10.0 + left_s,
+        )
+        return placement.choose(prompt, 10.0)
+
+    # Requests waited in the queues of engines that were left with the old version.
+    def test_an_engine_without_a_free_slot_gets_no_answer_that_may_last_past_the_end(self):
+        for running, left_s, is_refused in [
+            (10, 2.5, False),
+            (16, 2.5, True),
+            (16, 7.0, False),
+            (10, 1.0, True),
+        ]:
+            with self.subTest(running=running, left_s=left_s):
+                chosen = self.choose(left_s, running=running)
+                self.assertIs(isinstance(chosen, Refusal), is_refused)
+
+    # A link between zones was congested, and closes came 1.7 s late.
+    def test_an_engine_of_another_zone_gets_no_answer_that_may_last_past_the_end(self):
+        self.assertIsInstance(self.choose(2.5, zone="z2"), Refusal)
+        self.assertNotIsInstance(self.choose(7.0, zone="z2"), Refusal)
+
+
 class TestFewEnginesLeft(unittest.TestCase):
     """End of a version: all entries of a zone turn to the few engines that hold the next one."""
 
--- a/daisystack/tests/test_version_end.py
+++ b/daisystack/tests/test_version_end.py
@@ -143,6 +143,37 @@
         self.assertEqual(len(site.received_requests), 1)
 
 
+class TestDeadlineOfTheEngine(unittest.TestCase):
+    """A close may reach an engine late; the deadline that it got with the request does not."""
+
+    def sent_time_left_s(self, left_s, step_s):
+        """Return the time left that the engine gets when its version ends in left_s."""
+        received = []
+
+        def script(sock):
+            received.append(read_request(sock).lower())
+            sock.sendall(HEAD % 1 + chunk(event(1)) + b"0\r\n\r\n")
+
+        site = Site(self)
+        site.servers[0].scripts = [script]
+        requests = site.build()
+        requests.placement.profiles["llm"] = build_engine_profile(step_s=step_s)
+        for upstream in site.upstreams:
+            status = build_engine_status("x", now_s(), version=upstream.version)
+            requests.placement.engines.update(attrs.evolve(status, address=upstream.address))
+        learned_s = now_s() + left_s - requests.settings.version_bound_s
+        requests.published.targets.learn(WeightTarget("m", 2), learned_s)
+        requests.handle(build_inbound(**PROMPT_HEADERS), RecordingResponder())
+        return float(received[0].split(b"daisystack-time-left: ")[1].split(b"\r\n")[0])
+
+    # An engine that closes reached late began a request that had been withdrawn.
+    def test_engine_gets_the_end_of_its_version_as_deadline(self):
+        self.assertLessEqual(self.sent_time_left_s(left_s=3.5, step_s=0.007), 3.5)
+
+    def test_answer_that_may_last_past_the_end_keeps_its_deadline(self):
+        self.assertGreater(self.sent_time_left_s(left_s=2.5, step_s=0.03), 3.5)
+
+
 class TestBegunAnswers(unittest.TestCase):
     """What an engine has begun, or will begin on a newer version, stays there."""
 
