Count a version found after a restore of the store from the last confirmation before it

Callers could see: an answer of an expired version after a drill. Cause: entering a later era clears the time of the last confirmation before the read uses it, so a version found by that read counted from the read. Found by review. Ruled out: keeping the confirmation itself, as the store of the new era confirms nothing of the old one. Change: the time is taken before the era is entered. Test: None instead of 10.0 before.

--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -110,11 +110,12 @@
 
     def apply_snapshot(self, snapshot: Snapshot) -> list[Change]:
         """Apply a linearizable read and return what it changed."""
+        # A new era ends all confirmations, but its changes still came after the last one.
+        confirmed_s = self.confirmed_s
         self._enter_era(snapshot.era, snapshot.requested_s)
         if snapshot.era < self.era or snapshot.revision < self.complete_revision:
             return []
-        is_known_since = self.confirmed_s > NEVER_CONFIRMED_S
-        self.changed_after_s = self.confirmed_s if is_known_since else None
+        self.changed_after_s = confirmed_s if confirmed_s > NEVER_CONFIRMED_S else None
         changed = self._apply_full(snapshot.changes, snapshot.revision, snapshot.requested_s)
         self.confirmed_s = max(self.confirmed_s, snapshot.requested_s)
         return changed
--- a/daisystack/tests/test_store_era.py
+++ b/daisystack/tests/test_store_era.py
@@ -94,6 +94,13 @@
         self.assertEqual((delta.is_full, delta.era), (True, 5))
         self.assertEqual([c.key for c in delta.changes], ["servers/b"])
 
+    # A version found by the first read of an era counted from that read, so the old one ended late.
+    def test_changes_of_a_new_era_came_after_the_last_confirmation(self):
+        mirror = Mirror("op/")
+        mirror.apply_snapshot(snapshot({"op/a": (5, b"1")}, 5, 10.0, 1))
+        mirror.apply_snapshot(snapshot({"op/a": (3, b"1"), "op/b": (4, b"1")}, 4, 11.5, 2))
+        self.assertEqual(mirror.changed_after_s, 10.0)
+
     def test_second_drill_within_the_first(self):
         self.mirror.apply_snapshot(snapshot({"op/config": (7, b"4")}, 7, 2.0, 5))
         self.mirror.apply_snapshot(snapshot({"op/config": (6, b"3")}, 6, 2.5, 6))
