Do not count an attempt that was not sent as one, nor its successor as a retry

Callers could see: 503 on a route with one attempt, though the request had reached no upstream. Cause: next_step counted not_sent like an attempt that reached an upstream, against max_attempts and the retry budget; found by review. Ruled out: forgetting it altogether, as its upstream should not be tried again at once. Change: it is kept but not counted. Test: 503 before, green.

--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -106,12 +106,15 @@
             return combine_verdicts([Verdict.MAY_HAVE_RUN, self._combined_verdict()])
         return self._combined_verdict()
 
+    def _sent_count(self) -> int:
+        return sum(1 for outcome in self.outcomes if outcome.end is not AttemptEnd.NOT_SENT)
+
     def _combined_verdict(self) -> Verdict:
         return combine_verdicts(outcome.verdict for outcome in self.outcomes)
 
     def may_abandon(self, now_s: float) -> bool:
         """Return whether an attempt that may have run may be abandoned for another one."""
-        is_last = len(self.outcomes) + 1 >= self.max_attempts
+        is_last = self._sent_count() + 1 >= self.max_attempts
         return self.repeatable and not is_last and now_s < self.deadline_s - MIN_RETRY_TIME_S
 
     def next_step(self, outcome: AttemptOutcome, budget: Budget, now_s: float) -> NextStep:
@@ -128,8 +131,11 @@
             # Waiting for the run in progress adds no load and does not count as a retry.
             self.outcomes.pop()
             return RetrySameOwner(SAME_OWNER_PAUSE_S)
+        if outcome.end is AttemptEnd.NOT_SENT:
+            # Nothing reached an upstream, so the next attempt is no retry.
+            return RetryElsewhere()
         retry = self._allowed_retry(outcome)
-        if retry is None or len(self.outcomes) >= self.max_attempts or not budget.try_consume():
+        if retry is None or self._sent_count() >= self.max_attempts or not budget.try_consume():
             return self.give_up(outcome)
         return retry
 
--- a/daisystack/tests/test_attempt_guard.py
+++ b/daisystack/tests/test_attempt_guard.py
@@ -29,7 +29,7 @@
 
 
 class TestChangeDuringConnect(unittest.TestCase):
-    def serve(self, change, kind=RequestKind.UNSAFE, **engine):
+    def serve(self, change, max_attempts=2, **engine):
         """Apply a change while the first connection is being opened; the second upstream is fine.
 
         Return the responder and the number of requests that reached each upstream.
@@ -51,7 +51,9 @@
         upstreams = [
             build_upstream(n, s.address, slots=slots[n], **engine) for n, s in servers.items()
         ]
-        policy = build_policy(build_route(kind, is_public=False), OWNERS)
+        policy = build_policy(
+            build_route(RequestKind.UNSAFE, is_public=False, max_attempts=max_attempts), OWNERS
+        )
         self.requests = build_requests(policy, upstreams)
         connect = DirectExchange.connect
         changes = [change]
@@ -106,6 +108,14 @@
         responder, received = self.serve(leave)
         self.assertEqual((responder.status, received), (200, {"u1": 0, "u2": 1}))
 
+    # A route that allows one attempt answered 503 though no upstream had got the request.
+    def test_attempt_that_was_not_sent_does_not_count(self):
+        def remove():
+            self.requests.placement.remove_upstream("u1")
+
+        responder, received = self.serve(remove, max_attempts=1)
+        self.assertEqual((responder.status, received), (200, {"u1": 0, "u2": 1}))
+
     def test_upstream_that_is_gone_or_restarted_gets_nothing(self):
         def remove():
             self.requests.placement.remove_upstream("u1")
