Measure the processor time of a role's start

Change: benchmarks/startup.py starts an entry and an agent without a reachable platform and prints what each used until its last listener (metrics) was open.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(BIN)/python -m benchmarks.load_policies
 	$(BIN)/python -m benchmarks.distribution_policies
 	$(BIN)/python -m benchmarks.slopes
+	$(BIN)/python -m benchmarks.startup
 	$(BIN)/python -m benchmarks.heartbeats
 	$(BIN)/python -m benchmarks.config_spread
 	$(BIN)/python -m benchmarks.entry_load
--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -66,7 +66,7 @@
         for index in range(self.entries):
             self.start_entry(index)
         for index in range(self.models):
-            self._start_program(f"agent-{index}", "agent", self._host(self.entries + index))
+            self.start_role("agent", index, self.entries + index)
         self.wait_for(lambda: all(self.is_ready(i) for i in range(self.entries)))
         # Entries discover each other within a few rounds of gossip.
         entry_indexes = range(self.entries)
@@ -74,7 +74,16 @@
 
     def start_entry(self, index: int) -> None:
         """Start the entry with this index."""
-        self._start_program(f"entry-{index}", "entry", self._host(index))
+        self.start_role("entry", index)
+
+    def start_role(self, role: str, index: int, host_index: int | None = None) -> None:
+        """Start a role under its index, on the host of that index unless another one is given."""
+        host = self._host(index if host_index is None else host_index)
+        self._start_program(f"{role}-{index}", role, host)
+
+    def metrics_host(self, index: int) -> tuple[str, int]:
+        """Return host and port of the metrics of the program on a host."""
+        return self._host(index), METRICS_PORT
 
     def start_runner(self, port: int) -> str:
         """Start a plain runner in its own process, which a request can crash; return its name."""
