--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
 from attrs import frozen
 
-from daisystack.core.config_keeper import PublishedDocument
-from daisystack.core.direct_request import DirectAnswer, DirectRequest
-from daisystack.core.gate import EngineReport
-from daisystack.core.mirror import Change, DocumentVersion, Snapshot
-from daisystack.core.placement import DirectUpstream
-from daisystack.core.register import ModelRef
-from daisystack.core.targets import WeightTarget
-from daisystack.core.traffic import TrafficPolicy
-from daisystack.core.weight_pieces import EngineState, PieceList
+if TYPE_CHECKING:
+    from daisystack.core.config_keeper import PublishedDocument
+    from daisystack.core.direct_request import DirectAnswer, DirectRequest
+    from daisystack.core.gate import EngineReport
+    from daisystack.core.mirror import Change, DocumentVersion, Snapshot
+    from daisystack.core.placement import DirectUpstream
+    from daisystack.core.register import ModelRef
+    from daisystack.core.targets import WeightTarget
+    from daisystack.core.traffic import TrafficPolicy
+    from daisystack.core.weight_pieces import EngineState, PieceList
 
 __all__ = [
     "BackendError",
@@ -109,7 +110,7 @@
         """
 
 
-Publication = TrafficPolicy | DirectUpstream | WeightTarget
+Publication: TypeAlias = "TrafficPolicy | DirectUpstream | WeightTarget"
 
 
 class PublicationReader(Protocol):
--- a/daisystack/core/gate.py
+++ b/daisystack/core/gate.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
 
-from daisystack.core.register import ModelRef
+if TYPE_CHECKING:
+    from daisystack.core.register import ModelRef
 
 __all__ = ["EngineReport", "Gate", "GateReason"]
 
--- a/daisystack/core/loading.py
+++ b/daisystack/core/loading.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable, Sequence
 from itertools import zip_longest
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from daisystack.core.peers import PeerState, PeerStatus
-from daisystack.core.register import Instance, SiteDocument
+
+if TYPE_CHECKING:
+    from daisystack.core.register import Instance, SiteDocument
 
 __all__ = [
     "LoadingTurn",
--- a/daisystack/core/manifests.py
+++ b/daisystack/core/manifests.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
-
 import cattrs
 from attrs import frozen
 from cattrs.preconf.json import make_converter
 
+from daisystack.core.digests import digest_bytes
+
 __all__ = [
     "ChunkFault",
     "ChunkRef",
@@ -51,11 +51,6 @@
         return sum(chunk.size_bytes for chunk in self.chunks)
 
 
-def digest_bytes(body: bytes) -> str:
-    """Return the SHA-256 digest of a body in hex."""
-    return hashlib.sha256(body).hexdigest()
-
-
 def dump_manifest(manifest: Manifest) -> bytes:
     """Serialize a manifest; the manifest digest is the digest of these bytes."""
     return _converter.dumps(manifest).encode()
--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from daisystack.core.loading import earlier_in_lane
 from daisystack.core.peers import PeerState
-from daisystack.core.register import Instance, SiteDocument
 from daisystack.core.rendezvous import rank_members
 
+if TYPE_CHECKING:
+    from daisystack.core.register import Instance, SiteDocument
+
 __all__ = [
     "BASE_BOUND_S",
     "MAX_READER_RANK",
--- a/daisystack/core/weight_pieces.py
+++ b/daisystack/core/weight_pieces.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field, frozen
 
-from daisystack.core.manifests import digest_bytes
+from daisystack.core.digests import digest_bytes
 from daisystack.core.membership import rank_contacts
 
 __all__ = [
--- a/daisystack/tests/test_layout.py
+++ b/daisystack/tests/test_layout.py
@@ -1,8 +1,10 @@
 import ast
 import unittest
+from importlib import import_module
 from pathlib import Path
 
 PACKAGE = Path(__file__).parent.parent
+PACKAGES = ("daisystack", "daisystack.backends", "daisystack.testing")
 NOT_IN_CORE = {"time", "eventlet", "socket", "urllib3", "thrift", "threading", "select"}
 
 
@@ -27,7 +29,7 @@
                 continue
             tree = ast.parse(path.read_text())
             defined = {n.name for n in tree.body if hasattr(n, "name")}
-            for node in tree.body:
+            for node in _with_typing_imports(tree):
                 targets = getattr(node, "targets", [getattr(node, "target", None)])
                 for name in (t.id for t in targets if isinstance(t, ast.Name)):
                     defined.add(name)
@@ -40,6 +42,24 @@
                 with self.subTest(path=str(path.relative_to(PACKAGE)), name=name):
                     self.assertIn(name, defined)
 
+    # A name that is loaded when first used is declared for type checkers only, so a wrong name or
+    # module in the table of a package would be found by its first user.
+    def test_each_export_of_a_package_can_be_loaded(self):
+        for name in PACKAGES:
+            package = import_module(name)
+            for exported in package.__all__:
+                with self.subTest(package=name, name=exported):
+                    self.assertIsNotNone(getattr(package, exported))
+            with self.subTest(package=name), self.assertRaises(AttributeError):
+                package.no_such_name  # noqa: B018
+
+
+def _with_typing_imports(tree):
+    for node in tree.body:
+        yield node
+        if isinstance(node, ast.If) and getattr(node.test, "id", "") == "TYPE_CHECKING":
+            yield from node.body
+
 
 def _exports(tree):
     for node in tree.body:
