Give start times in runs of a reference loop too

Cause: the speed of a core of this machine changes by a factor of two within minutes (a fixed loop took 0.41 to 0.86 s), so milliseconds of two minutes can't be compared.

Change: benchmarks/startup.py runs a fixed loop before and after each start and prints the median of their ratio.

--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -1,4 +1,8 @@
-"""Measure the processor time that each role of the platform uses until it listens."""
+"""Measure the processor time that each role of the platform uses until it listens.
+
+The speed of a core changes between runs, so times are also given in runs of a reference loop,
+measured before and after each start.
+"""
 
 from __future__ import annotations
 
@@ -21,6 +25,8 @@
 TIMEOUT_S = 20.0
 POLL_S = 0.002
 NS_PER_MS = 1_000_000
+MS_PER_S = 1000
+REFERENCE_STEPS = 300_000
 SOURCES = ("daisystack", "platform")
 
 
@@ -35,6 +41,15 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / NS_PER_MS
 
 
+def reference_ms() -> float:
+    """Return the processor milliseconds of the reference loop."""
+    started_s = time.process_time()
+    table = {}
+    for step in range(REFERENCE_STEPS):
+        table[step & 1023] = str(step)
+    return (time.process_time() - started_s) * MS_PER_S
+
+
 def measure(role: str) -> float:
     """Start a role without a reachable platform; return what it used until it listened, in ms."""
     index = ENTRY_INDEX if role == "entry" else AGENT_INDEX
@@ -58,11 +73,16 @@
     """Print the table, one row per role; the number of runs may be given."""
     runs = int(sys.argv[1]) if len(sys.argv) > 1 else RUNS
     compile_sources()
-    print("| role | runs | least ms | median ms |")
-    print("|---|---|---|---|")
+    print("| role | runs | least ms | median ms | median in reference loops |")
+    print("|---|---|---|---|---|")
     for role in ("entry", "agent"):
-        used = [measure(role) for _ in range(runs)]
-        print(f"| {role} | {runs} | {min(used):.0f} | {median(used):.0f} |", flush=True)
+        used, loops = [], []
+        for _ in range(runs):
+            before_ms = reference_ms()
+            used.append(measure(role))
+            loops.append(2 * used[-1] / (before_ms + reference_ms()))
+        row = f"{min(used):.0f} | {median(used):.0f} | {median(loops):.2f}"
+        print(f"| {role} | {runs} | {row} |", flush=True)
 
 
 def _is_listening(address: tuple[str, int]) -> bool:
