--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -51,6 +51,8 @@
     regions: dict[str, str] = field(factory=dict)
     # Names of the programs that can't reach the platform.
     offline: frozenset[str] = frozenset()
+    # Last number of the first program's loopback address.
+    first_host: int = FIRST_HOST
     base_port: int = field(factory=lambda: _find_free_ports(PORT_COUNT))
     processes: Processes = field(init=False)
     _http: urllib3.PoolManager = field(factory=lambda: urllib3.PoolManager(retries=False))
@@ -181,7 +183,7 @@
         return Answer(response.status, response.data, dict(response.headers))
 
     def _host(self, index: int) -> str:
-        return f"127.0.0.{FIRST_HOST + index}"
+        return f"127.0.0.{self.first_host + index}"
 
     def _region(self, name: str) -> str:
         return self.regions.get(name, "r1")
