Start the roles without the machine's site packages

Cause: on this machine the interpreter's site step takes 60 ms of processor time in each process (a start file among the machine's site packages loads certifi and what it needs), 10 ms with -S; all dependencies are under target/deps.

Elsewhere the gain is that of a plain site step, a few ms.

--- a/benchmarks/process_time.py
+++ b/benchmarks/process_time.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 
 from benchmarks.startup import compile_sources, used_ms
-from daisystack.tests.on_platform.site import PlatformSite
+from daisystack.tests.on_platform.site import PlatformSite, interpreter_flags
 from tools.processes import Process, Processes
 
 __all__ = ["main"]
@@ -90,7 +90,8 @@
     compile_sources()
     folder = Path(tempfile.mkdtemp(prefix="daisystack-bench-"))
     site = PlatformSite(folder, entries=ENTRIES, models=AGENTS, first_host=FIRST_HOST)
-    site.processes = Processes(folder, (sys.executable, "-m", "benchmarks.sampled"))
+    command = (sys.executable, *interpreter_flags(), "-m", "benchmarks.sampled")
+    site.processes = Processes(folder, command)
     print("| phase | role | cause | ms | ms/s | wake-ups/s |\n|---|---|---|---|---|---|")
     try:
         site.start()
--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -7,7 +7,9 @@
 import re
 import socket
 import sys
+import sysconfig
 import time
+import tomllib
 from pathlib import Path
 
 import urllib3
@@ -15,7 +17,9 @@
 
 from tools.processes import Processes
 
-__all__ = ["Answer", "PlatformSite"]
+__all__ = ["Answer", "PlatformSite", "interpreter_flags"]
+
+DEPLOY_FILE = Path(__file__).parents[3] / "deploy" / "system.toml"
 
 HOST = "127.0.0.1"
 API_KEY = "key-of-the-dealers"
@@ -59,7 +63,9 @@
     _request_count: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.processes = Processes(self.folder, (sys.executable,))
+        self.processes = Processes(self.folder, (sys.executable, *interpreter_flags()))
+        # A deployment has its dependencies on Python's path, not among the site packages.
+        os.environ["PYTHONPATH"] = sysconfig.get_path("purelib")
 
     def start(self) -> None:
         """Start all processes and wait until every entry is ready; raises TimeoutError."""
@@ -229,6 +235,13 @@
         return "".join(f"{key}={value}\n" for key, value in settings.items())
 
 
+def interpreter_flags() -> list[str]:
+    """Return the flags of the interpreter in the deploy file."""
+    roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"]
+    _, *words = roles["entry"]["run"].split()
+    return words[: words.index("platform/serve.py")]
+
+
 def _find_free_ports(count: int) -> int:
     """Return the first of consecutive free ports; raises OSError if there are not enough."""
     for first_port in range(FIRST_PORT, LAST_PORT, count):
