Load the metrics library where something is counted or scraped

Cause: an agent counts nothing and is scraped only while an incident is examined, but loaded aioprometheus with its codecs at its start.

Change: MetricsServer has a module of its own and loads the library at the first use of its registry. An entry still loads it at its start, since its first request counts. test_startup names aioprometheus for the agent; red before.

--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -24,13 +24,14 @@
 from daisystack.core.upstream_pauses import UpstreamPauses
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
-from daisystack.runtime.direct_metrics import EntryMetrics, MetricsServer, Sample
+from daisystack.runtime.direct_metrics import EntryMetrics
 from daisystack.runtime.direct_requests import DirectRequests, DirectRequestSettings
 from daisystack.runtime.engine_datagrams import EngineRelay
 from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.metrics_server import MetricsServer, Sample
 from daisystack.runtime.mirror_task import MirrorTask
 from daisystack.runtime.peer_link import serve_peers
 from daisystack.runtime.piece_task import PieceTask
--- a/daisystack/runtime/direct_metrics.py
+++ b/daisystack/runtime/direct_metrics.py
@@ -1,50 +1,17 @@
-"""Count requests and attempts, measure latencies and serve them as Prometheus metrics."""
+"""Count requests and attempts and measure latencies as Prometheus metrics."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Counter, Histogram, Registry
 from attrs import define, field
 
-from daisystack.core.addresses import parse_address
 from daisystack.runtime.events import AttemptEnded, DirectRequestEnded, ExpiredVersionStarted
-from daisystack.runtime.web import Request, Response, Route, serve_http
 
-__all__ = ["EntryMetrics", "MetricsServer", "Sample"]
+__all__ = ["EntryMetrics"]
 
-METRICS_PATH = "/metrics"
 # From a tenth of the shortest latency objective to the longest deadline of the users' routes.
 LATENCY_BUCKETS_S = [0.03, 0.06, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0]
 
-# A gauge's name, help text and current value.
-Sample = tuple[str, str, float]
-
-
-@define(eq=False)
-class MetricsServer:
-    """Serve a metrics registry; gauges are read at each scrape."""
-
-    address: str
-    samples: Callable[[], Iterable[Sample]]
-    registry: Registry = field(factory=Registry)
-    _gauges: dict[str, Gauge] = field(factory=dict)
-
-    def start(self) -> None:
-        """Start listening; raise OSError if the address can't be bound."""
-        serve_http(parse_address(self.address), [Route("GET", METRICS_PATH, self._serve)])
-
-    def text(self) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        for name, help_text, value in self.samples():
-            if name not in self._gauges:
-                self._gauges[name] = Gauge(name, help_text, registry=self.registry)
-            self._gauges[name].set({}, value)
-        return render(self.registry, ["text/plain"])[0]
-
-    def _serve(self, request: Request, subpath: str) -> Response:
-        return Response(200, self.text(), "text/plain; version=0.0.4; charset=utf-8")
-
 
 @define(eq=False)
 class EntryMetrics:
--- /dev/null
+++ b/daisystack/runtime/metrics_server.py
@@ -0,0 +1,55 @@
+"""Serve gauges and a registry as Prometheus metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import cached_property
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from daisystack.core.addresses import parse_address
+from daisystack.runtime.web import Request, Response, Route, serve_http
+
+if TYPE_CHECKING:
+    from aioprometheus import Gauge, Registry
+
+__all__ = ["MetricsServer", "Sample"]
+
+METRICS_PATH = "/metrics"
+
+# A gauge's name, help text and current value.
+Sample = tuple[str, str, float]
+
+
+@define(eq=False)
+class MetricsServer:
+    """Serve a metrics registry; gauges are read at each scrape."""
+
+    address: str
+    samples: Callable[[], Iterable[Sample]]
+    _gauges: dict[str, Gauge] = field(factory=dict)
+
+    @cached_property
+    def registry(self) -> Registry:
+        """The registry; its library loads in a process that counts or is scraped."""
+        from aioprometheus import Registry
+
+        return Registry()
+
+    def start(self) -> None:
+        """Start listening; raise OSError if the address can't be bound."""
+        serve_http(parse_address(self.address), [Route("GET", METRICS_PATH, self._serve)])
+
+    def text(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        from aioprometheus import Gauge, render
+
+        for name, help_text, value in self.samples():
+            if name not in self._gauges:
+                self._gauges[name] = Gauge(name, help_text, registry=self.registry)
+            self._gauges[name].set({}, value)
+        return render(self.registry, ["text/plain"])[0]
+
+    def _serve(self, request: Request, subpath: str) -> Response:
+        return Response(200, self.text(), "text/plain; version=0.0.4; charset=utf-8")
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -19,7 +19,6 @@
 from daisystack.core.version_choice import VersionChoice
 from daisystack.core.weight_pieces import EngineState, PieceList, piece_matches
 from daisystack.runtime.clock import new_incarnation, now_s
-from daisystack.runtime.direct_metrics import MetricsServer, Sample
 from daisystack.runtime.engine_datagrams import EngineStatusSender
 from daisystack.runtime.events import (
     ChunkRejected,
@@ -34,6 +33,7 @@
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
+from daisystack.runtime.metrics_server import MetricsServer, Sample
 from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link, serve_peers
 from daisystack.runtime.piece_source import PieceSource
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
--- a/daisystack/tests/test_startup.py
+++ b/daisystack/tests/test_startup.py
@@ -16,6 +16,7 @@
         "daisystack.runtime.weight_agent",
     ),
     "daisystack.runtime.weight_agent": (
+        "aioprometheus",
         "cattrs",
         "h11",
         "daisystack.core.placement",
