Let an idle agent wait for news instead of checking its engine's version

Ruled out: a longer interval, which would let a new version be learned later.

Change: the task waits until a target becomes known or a poll of the engine (every 0.1 to 0.2 s as before) shows that weights are needed.

--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -7,6 +7,7 @@
 
 import eventlet
 from attrs import define, field
+from eventlet.event import Event
 from eventlet.queue import Empty, Queue
 
 from daisystack.backends import BackendError, LocalEngine
@@ -103,6 +104,7 @@
     _is_engine_lost: bool = False
     _progress: _PullProgress | None = None
     _pacer: ReportPacer = field(factory=ReportPacer)
+    _fill_due: Event = field(factory=Event)
 
     def __attrs_post_init__(self) -> None:
         identity = self.settings.identity
@@ -119,6 +121,7 @@
         )
         targets = Targets(self.settings.publication_bound_s)
         self.mesh = MeshTask(own, identity.seeds, (), lambda mirror, changes: None, targets=targets)
+        self.mesh.on_target.append(lambda target: self._check_fill_due())
         self.piece_source = PieceSource(identity.zone, self._entries)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
@@ -128,7 +131,7 @@
         serve_peers(parse_address(self.settings.peer_address), handler)
         self.mesh.start()
         eventlet.spawn(run_steps, "engine watch", self._poll_engine)
-        eventlet.spawn(run_steps, "engine fill", self._stage_and_order)
+        eventlet.spawn(run_steps, "engine fill", self._fill)
         self.metrics.start()
         identity = self.settings.identity
         incarnation = self.mesh.own.incarnation
@@ -166,11 +169,13 @@
                 log_event(_logger, DependencyLost("engine", str(error), 0.0))
             self._is_engine_lost = True
             self.engine_state = None
+            self._check_fill_due()
             return
         if self._is_engine_lost:
             log_event(_logger, DependencyRegained("engine", 0.0))
         self._is_engine_lost = False
         self.engine_state = state
+        self._check_fill_due()
         self._report_state(state, at_s)
 
     def _poll_interval_s(self) -> float:
@@ -209,13 +214,28 @@
         in_zone = [m for m in entries if m.zone == self.settings.identity.zone]
         return in_zone or entries[:REMOTE_RECEIVERS]
 
+    def _check_fill_due(self) -> None:
+        if self._needs_weights() and not self._fill_due.ready():
+            self._fill_due.send()
+
+    def _needs_weights(self) -> bool:
+        target, state = self._target(), self.engine_state
+        if target is None:
+            return False
+        return state is None or not (state.version == target.version or state.is_busy)
+
+    def _fill(self) -> None:
+        """Wait until the engine may need weights; an idle agent does not wake up to check."""
+        if not self._needs_weights():
+            self._fill_due.wait()
+            self._fill_due = Event()
+        self._stage_and_order()
+
     def _stage_and_order(self) -> None:
         eventlet.sleep(STAGE_INTERVAL_S)
         target = self._target()
         state = self.engine_state
-        if target is None:
-            return
-        if state is not None and (state.version == target.version or state.is_busy):
+        if target is None or not self._needs_weights():
             return
         pieces = self._choose_pieces(target.model)
         if pieces is None or state is None:
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -18,7 +18,8 @@
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.peer_link import serve_peers
 from daisystack.runtime.piece_task import PieceTask
-from daisystack.runtime.weight_agent import StagedPieces, WeightAgent
+from daisystack.runtime.tasks import run_steps
+from daisystack.runtime.weight_agent import STAGE_INTERVAL_S, StagedPieces, WeightAgent
 from daisystack.testing.scripted import free_address
 
 VERSION_BOUND_S = 8.0
@@ -319,6 +320,50 @@
         self.assert_complete_loads(engine, 2)
 
 
+class TestIdleAgent(unittest.TestCase):
+    def start(self, engine, *tasks):
+        site = Site(engine)
+        site.run()
+        site.agent.engine_state = engine.state()
+        # The entry of this site receives no datagrams.
+        site.agent.status_sender = mock.Mock()
+        for name in tasks:
+            step = getattr(site.agent, name)
+            self.addCleanup(eventlet.spawn(run_steps, name, step).kill)
+        eventlet.sleep(2 * STAGE_INTERVAL_S)
+        return site
+
+    def wait_for_version(self, engine, version):
+        with eventlet.Timeout(10.0):
+            while engine.version != version:
+                eventlet.sleep(0.05)
+
+    # Ten times a second each idle agent woke up to find that its engine had the wanted version:
+    # with the check for a stop signal, most of its timers.
+    def test_fill_sets_no_timer_while_the_engine_has_the_wanted_version(self):
+        self.start(FakeEngine(), "_fill")
+        wait = eventlet.sleep
+        with mock.patch.object(eventlet, "sleep", side_effect=wait) as sleeps:
+            wait(3 * STAGE_INTERVAL_S)
+        self.assertEqual(sleeps.call_count, 0)
+
+    # Each of the two must end the wait of an idle agent by itself: a frozen engine is not polled,
+    # and no news comes when an engine has restarted.
+    def test_a_new_target_ends_the_wait(self):
+        engine = FakeEngine()
+        site = self.start(engine, "_fill")
+        site.add_target(3)
+        for listener in site.agent.mesh.on_target:
+            listener(WeightTarget("m", 3))
+        self.wait_for_version(engine, 3)
+
+    def test_an_engine_that_restarted_empty_ends_the_wait(self):
+        engine = FakeEngine()
+        self.start(engine, "_fill", "_poll_engine")
+        engine.version, engine.order_count, engine.started_ms = 0, 0, 2
+        self.wait_for_version(engine, 2)
+
+
 class TestServingAgents(unittest.TestCase):
     def build(self, version=1):
         serving = Site(FakeEngine(version=1, pieces={i: piece_body(1, i) for i in range(PIECES)}))
