Give log events no comparison and no printed form

Cause: attrs compiles the methods of each class when it is loaded, about 0.6 ms for each of the 32 events, and half of that for methods that nothing calls: an event is made, its fields are logged or counted, and that is all.

Change: the events are defined without them.

--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -1,6 +1,7 @@
 """Events that the daemons log.
 
-The class name in snake case is the event name, and the attributes are the logged fields.
+The class name in snake case is the event name, and the attributes are the logged fields. Events are
+not compared or printed otherwise, so they get no methods for that, which halves their time to load.
 """
 
 from __future__ import annotations
@@ -44,7 +45,7 @@
 ]
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DaemonStarted:
     """A daemon has started and accepts connections."""
 
@@ -55,7 +56,7 @@
     incarnation: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DaemonStopping:
     """A daemon drains before it stops."""
 
@@ -63,21 +64,21 @@
     linger_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DaemonStopped:
     """A daemon has stopped; cut_off is the number of requests that were aborted."""
 
     cut_off: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class ServiceReadFailed:
     """The config service or the live list did not answer."""
 
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class PeerPullFailed:
     """A document could not be pulled from a peer."""
 
@@ -85,7 +86,7 @@
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class RolloutStarted:
     """The transfer of a version's weights has started."""
 
@@ -95,7 +96,7 @@
     chunks_held: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class RolloutDone:
     """All chunks of a version are held and verified."""
 
@@ -105,7 +106,7 @@
     reused_bytes: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class ChunkRejected:
     """A chunk or manifest was rejected, for example because it does not match its digest."""
 
@@ -113,7 +114,7 @@
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class WeightSourceFailed:
     """The store or the origin did not return the requested data."""
 
@@ -121,7 +122,7 @@
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class RequestEnded:
     """A request has ended."""
 
@@ -134,7 +135,7 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DependencyLost:
     """A dependency no longer answers; belief_age_s is the age of its last known state."""
 
@@ -143,7 +144,7 @@
     belief_age_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DependencyRegained:
     """A dependency answers again."""
 
@@ -151,7 +152,7 @@
     belief_age_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class StoreEraChanged:
     """The store came back from an older copy; held_count values are kept until it confirms them."""
 
@@ -161,7 +162,7 @@
     held_count: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class PeerSilent:
     """A peer does not answer."""
 
@@ -169,7 +170,7 @@
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class PeerHeard:
     """A peer answers, for the first time or again."""
 
@@ -177,7 +178,7 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class CallerRefused:
     """Bytes from a caller were rejected before they formed a request."""
 
@@ -185,7 +186,7 @@
     reason: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class PolicyTaken:
     """Another version of the routes, keys and limits is in force in this process."""
 
@@ -195,7 +196,7 @@
     belief_age_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class TargetTaken:
     """Another version of a model's weights is the target."""
 
@@ -204,7 +205,7 @@
     revision: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class UpstreamChanged:
     """The published state of an upstream has changed."""
 
@@ -216,7 +217,7 @@
     revision: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class UpstreamGone:
     """An upstream is no longer published."""
 
@@ -224,7 +225,7 @@
     revision: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class UpstreamLeaving:
     """An upstream said in a response that it leaves; it gets no more requests."""
 
@@ -232,7 +233,7 @@
     started_ms: int
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class UpstreamPaused:
     """An upstream asked for a pause, during which it gets no requests."""
 
@@ -241,7 +242,7 @@
     pause_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class UpstreamNoticeIgnored:
     """An upstream sent a header that can't be understood."""
 
@@ -249,7 +250,7 @@
     reason: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class PublicationIgnored:
     """A published value was ignored because it can't be decoded, so nothing it names is used."""
 
@@ -258,7 +259,7 @@
     error: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class AttemptEnded:
     """An attempt of a request at an upstream has ended, with the state known at that time."""
 
@@ -289,7 +290,7 @@
     version_left_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class DirectRequestEnded:
     """A caller's request has ended, with the cached state on which it was decided."""
 
@@ -313,7 +314,7 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class WeightsHeld:
     """An entry holds its share of a version's pieces."""
 
@@ -323,7 +324,7 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class WeightsStaged:
     """Every piece of a version is verified and staged next to the engine."""
 
@@ -332,7 +333,7 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class OrderAnswered:
     """An order was sent to the engine, with the engine's answer."""
 
@@ -343,21 +344,21 @@
     took_s: float
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class SettingsReloaded:
     """Changed settings are in force."""
 
     path: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class SettingsKept:
     """Changed settings are invalid, so the previous ones stay in force."""
 
     faults: str
 
 
-@frozen
+@frozen(eq=False, repr=False)
 class TargetTold:
     """A peer reported another target version of a model's weights."""
 
