Make a call over a kept connection cheaper

Cause: half of an idle agent's processor time polls its engine over HTTP (5.7 of 12 ms/s). Before each call on a kept connection the client library asks whether it is still open; its poll is the green one, which takes a turn through the event loop. The generic request function adds checks of other hosts and redirects, which are off here anyway.

Change: the pool's connections look for input without the event loop, and calls go to the pool's urlopen. Retries, redirects, limits and errors stay as they were.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 	$(BIN)/python -m benchmarks.distribution_policies
 	$(BIN)/python -m benchmarks.slopes
 	$(BIN)/python -m benchmarks.startup
+	$(BIN)/python -m benchmarks.process_time
+	$(BIN)/python -m benchmarks.http_calls
 	$(BIN)/python -m benchmarks.heartbeats
 	$(BIN)/python -m benchmarks.config_spread
 	$(BIN)/python -m benchmarks.entry_load
--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -4,7 +4,9 @@
 
 import json
 
+import eventlet.patcher
 import urllib3
+import urllib3.connection
 from attrs import define, field, frozen
 
 from daisystack.backends.base import BackendError
@@ -16,6 +18,9 @@
 MAX_CONNECTIONS = 4
 READ_BLOCK_BYTES = 1024 * 1024
 MAX_RESPONSE_BYTES = 20 * 1024 * 1024
+POLLIN = 1
+# The green version goes through the event loop even if it doesn't wait.
+_poll = eventlet.patcher.original("select").poll
 
 
 @frozen
@@ -27,6 +32,21 @@
     body: bytes
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open and idle, without an answer that nobody requested."""
+        if self.sock is None:
+            return False
+        poll = _poll()
+        poll.register(self.sock.fileno(), POLLIN)
+        return not poll.poll(0)
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 @define
 class HttpEndpoint:
     """HTTP client with a connection pool for one address of the platform."""
@@ -36,9 +56,7 @@
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=MAX_CONNECTIONS, retries=False
-        )
+        self._pool = _Pool(host, int(port), maxsize=MAX_CONNECTIONS, retries=False)
 
     def call(
         self,
@@ -52,11 +70,14 @@
         """Return a complete response; raise BackendError on any failure or if it is too large."""
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
         try:
-            response = self._pool.request(
+            response = self._pool.urlopen(
                 method,
                 path,
                 body=body,
                 headers=headers,
+                retries=False,
+                redirect=False,
+                assert_same_host=False,
                 timeout=timeout,
                 preload_content=False,
             )
