--- a/daisystack/tests/test_startup.py
+++ b/daisystack/tests/test_startup.py
@@ -3,6 +3,7 @@
 import unittest
 from pathlib import Path
 
+from daisystack.tests.on_platform.site import PlatformSite
 from tools.processes import Processes
 
 REPOSITORY = Path(__file__).parent.parent.parent
@@ -43,6 +44,26 @@
                 self.assertEqual(process.wait(), 0, process.log_path.read_text())
                 self.assertEqual(process.log_path.read_text().strip(), "")
 
+    # Collections are off while a process starts. If they stayed off, garbage in cycles, as that
+    # of failed calls, would fill its memory.
+    def test_collections_are_on_in_a_running_process(self):
+        folder = Path(tempfile.mkdtemp())
+        code = (
+            f"import sys; sys.path[:0] = [{str(REPOSITORY / 'platform')!r}, {str(REPOSITORY)!r}];"
+            " import serve, gc, os; was_on = gc.isenabled();"
+            " import daisystack.runtime.stopping as stopping;"
+            " stopping.wait_for_stop = lambda _: os._exit(2 * was_on + gc.isenabled());"
+            " sys.argv[1:] = sys.argv[-1:]; serve.main()"
+        )
+        for role, index in (("entry", 70), ("agent", 71)):
+            with self.subTest(role):
+                site = PlatformSite(folder, offline=frozenset({f"{role}-{index}"}))
+                site.processes = Processes(folder, (sys.executable, "-W", "ignore", "-c", code))
+                site.start_role(role, index)
+                process = site.processes.by_name[f"{role}-{index}"]
+                # Off while serve.py loads, on when the process waits for its stop.
+                self.assertEqual(process.wait(), 1, process.log_path.read_text())
+
 
 if __name__ == "__main__":
     unittest.main()
