Count only the sleeps of the task that a test watches

The test of the stop signal compared the number of all timers and had the same weakness.

Change: both count the sleeps of the task alone, over as long a time; as strict as before.

--- a/daisystack/tests/test_stopping.py
+++ b/daisystack/tests/test_stopping.py
@@ -1,13 +1,15 @@
 import os
 import signal
 import unittest
+from unittest import mock
 
 import eventlet
-from eventlet.hubs import get_hub
 
 from daisystack.runtime.stopping import wait_for_stop
 
 WAIT_S = 2.0
+# Three times the interval at which signals were looked for.
+IDLE_S = 0.3
 
 
 class TestWaitForStop(unittest.TestCase):
@@ -18,10 +20,17 @@
     # A process that looked for a signal ten times a second used a twentieth of its idle
     # processor time and a quarter of its wake-ups for that.
     def test_waiting_sets_no_timer(self):
-        timers = get_hub().get_timers_count()
-        waiter = eventlet.spawn(wait_for_stop, lambda: None)
-        eventlet.sleep(0)
-        self.assertLessEqual(get_hub().get_timers_count(), timers)
+        wait, sleepers = eventlet.sleep, []
+
+        def record(seconds=0):
+            sleepers.append(eventlet.getcurrent())
+            wait(seconds)
+
+        # Tasks of other tests may still run in this process.
+        with mock.patch.object(eventlet, "sleep", record):
+            waiter = eventlet.spawn(wait_for_stop, lambda: None)
+            wait(IDLE_S)
+        self.assertNotIn(waiter, sleepers)
         os.kill(os.getpid(), signal.SIGTERM)
         with eventlet.Timeout(WAIT_S):
             waiter.wait()
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -321,17 +321,18 @@
 
 
 class TestIdleAgent(unittest.TestCase):
-    def start(self, engine, *tasks):
+    def start(self, engine, *names):
+        """Return a site whose engine is loaded, and its agent's started tasks."""
         site = Site(engine)
         site.run()
         site.agent.engine_state = engine.state()
         # The entry of this site receives no datagrams.
         site.agent.status_sender = mock.Mock()
-        for name in tasks:
-            step = getattr(site.agent, name)
-            self.addCleanup(eventlet.spawn(run_steps, name, step).kill)
+        tasks = [eventlet.spawn(run_steps, name, getattr(site.agent, name)) for name in names]
+        for task in tasks:
+            self.addCleanup(task.kill)
         eventlet.sleep(2 * STAGE_INTERVAL_S)
-        return site
+        return site, tasks
 
     def wait_for_version(self, engine, version):
         with eventlet.Timeout(10.0):
@@ -341,17 +342,23 @@
     # Ten times a second each idle agent woke up to find that its engine had the wanted version:
     # with the check for a stop signal, most of its timers.
     def test_fill_sets_no_timer_while_the_engine_has_the_wanted_version(self):
-        self.start(FakeEngine(), "_fill")
-        wait = eventlet.sleep
-        with mock.patch.object(eventlet, "sleep", side_effect=wait) as sleeps:
+        _, (task,) = self.start(FakeEngine(), "_fill")
+        wait, sleepers = eventlet.sleep, []
+
+        def record(seconds=0):
+            sleepers.append(eventlet.getcurrent())
+            wait(seconds)
+
+        # Tasks of other tests may still run in this process.
+        with mock.patch.object(eventlet, "sleep", record):
             wait(3 * STAGE_INTERVAL_S)
-        self.assertEqual(sleeps.call_count, 0)
+        self.assertNotIn(task, sleepers)
 
     # Each of the two must end the wait of an idle agent by itself: a frozen engine is not polled,
     # and no news comes when an engine has restarted.
     def test_a_new_target_ends_the_wait(self):
         engine = FakeEngine()
-        site = self.start(engine, "_fill")
+        site, _ = self.start(engine, "_fill")
         site.add_target(3)
         for listener in site.agent.mesh.on_target:
             listener(WeightTarget("m", 3))
