Take a stream that ends with its connection before its first event for broken off

An answer may have neither a length nor chunks and end with its connection. An upstream that ended after such a head passed for one with an empty, whole stream: the caller got an empty answer, nothing was retried, and the part that had crashed the upstream counted as sound.

Cause: the end of a connection alone was taken for the end of the body.

--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -15,7 +15,7 @@
 from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import Responder
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.direct_http import DirectExchange
+from daisystack.runtime.direct_http import AnswerHead, DirectExchange
 from daisystack.runtime.upstream_http import AttemptFailed
 
 __all__ = ["AttemptResult", "AttemptRunner"]
@@ -135,7 +135,7 @@
         if answer.is_encoded or not answer.is_genuine:
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer is not the upstream's own")
         if self.route.kind is RequestKind.STREAM and answer.is_stream and _is_success(answer):
-            return self._forward_stream(exchange, answer)
+            return self._forward_stream(exchange, answer, _is_framed(head))
         return self._forward_buffered(exchange, answer)
 
     def _forward_buffered(self, exchange: DirectExchange, answer: DirectAnswer) -> AttemptResult:
@@ -150,13 +150,17 @@
         self.responder.send_answer(answer.status, list(answer.headers), body)
         return AttemptResult(AttemptEnd.ANSWERED, "", answer.status)
 
-    def _forward_stream(self, exchange: DirectExchange, answer: DirectAnswer) -> AttemptResult:
+    def _forward_stream(
+        self, exchange: DirectExchange, answer: DirectAnswer, is_framed: bool
+    ) -> AttemptResult:
         if self.exact_version is not None and answer.version != self.exact_version:
             raise AttemptFailed(
                 AttemptEnd.ANSWER_MIXED,
                 "response is from another weight version than the first part",
             )
+        event_count = 0
         for event in self._iter_events(exchange):
+            event_count += 1
             self._sent.record_received(now_s())
             if self._is_duplicate(event):
                 continue
@@ -165,6 +169,9 @@
             if event.id is not None:
                 self._last_event_id = event.id
                 self._last_event_number = event.number
+        if not event_count and not is_framed:
+            # The end of the connection alone doesn't show that nothing was to follow.
+            raise AttemptFailed(AttemptEnd.ANSWER_CUT, "stream ended before its first event")
         self._start_answer(answer)
         self.responder.finish()
         return AttemptResult(AttemptEnd.ANSWERED, "", answer.status)
@@ -194,5 +201,10 @@
         return event.number <= self._last_event_number
 
 
+def _is_framed(head: AnswerHead) -> bool:
+    """Return whether an answer has a length or chunks, so that its end is part of it."""
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in head.headers)
+
+
 def _is_success(answer: DirectAnswer) -> bool:
     return 200 <= answer.status < 300
