--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -3,12 +3,15 @@
 import unittest
 from unittest import mock
 
+from daisystack.core.crash_hold import Suspicion
+from daisystack.core.crash_suspects import digest_part, digest_upstream
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.mirror import Change, Snapshot
 from daisystack.core.targets import WeightTarget
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_entry import DirectEntry
+from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.piece_task import PieceTask
 from daisystack.testing.direct import PlainDialect
 from daisystack.testing.scripted import free_address
@@ -101,6 +104,29 @@
         self.assertLess(age_s, 0.1)
 
 
+class TestCrashes(unittest.TestCase):
+    # BUDGET: entries that each saw one crash must hold the part together, in any zone.
+    def test_crashes_spread_over_the_mesh_and_are_passed_on(self):
+        first, relay, far = (build_entry() for _ in range(3))
+        bad, good = digest_part("m", "bad"), digest_part("m", "good")
+        suspects = first.requests.crashes.suspects
+        suspects.record_complete((good,), now_s() - 5.0)
+        for index in range(3):
+            upstream = digest_upstream(f"u{index}", 1)
+            suspects.record_crash((bad,), upstream, now_s() - 2.0 + 0.5 * index)
+            suspects.record_crash((good,), upstream, now_s() - 2.0 + 0.5 * index)
+        first.requests.crashes.hold.record_crash("f", now_s())
+        first.requests.crashes.hold.record_crash("f", now_s())
+        for sender, receiver in ((first, relay), (relay, far)):
+            # Each of them pushes the news on, which here has no peers to go to.
+            with mock.patch.object(MeshTask, "exchange_news") as exchange_news:
+                receiver.mesh.apply_news(sender.mesh.build_news(now_s(), "z1"), now_s())
+                exchange_news.assert_called()
+        crashes = far.requests.crashes
+        self.assertEqual(crashes.suspects.held_parts, frozenset({bad}))
+        self.assertIs(crashes.hold.evaluate("f", now_s()), Suspicion.HELD)
+
+
 class TestReadiness(unittest.TestCase):
     def test_entry_without_state_is_not_ready_and_lists_no_addresses(self):
         entry = build_entry()
