--- a/daisystack/core/crash_hold.py
+++ b/daisystack/core/crash_hold.py
@@ -49,11 +49,14 @@
     entry_id: str = ""
     _own_counts: dict[str, _CrashCount] = field(factory=dict)
     _entry_counts: dict[str, dict[str, _CrashCount]] = field(factory=dict)
+    # The latest counts by entry and fingerprint; None after a change.
+    _newest: list[tuple[str, str, _CrashCount]] | None = None
 
     def record_crash(self, fingerprint: str, now_s: float) -> int:
         """Count a crash and return the total, with the counts of other entries."""
         if fingerprint not in self._own_counts and len(self._own_counts) >= MAX_FINGERPRINTS:
             self._own_counts.pop(min(self._own_counts, key=lambda f: self._own_counts[f].last_s))
+        self._newest = None
         crashes = self._own_counts.setdefault(fingerprint, _CrashCount(0, now_s))
         crashes.count += 1
         crashes.last_s = now_s
@@ -98,16 +101,21 @@
 
     def known_counts(self, now_s: float) -> tuple[EntryCrashCount, ...]:
         """Return the latest counts of all entries, for peers that don't hear from each of them."""
-        self._drop_expired(now_s)
-        known = [(self.entry_id, f, crashes) for f, crashes in self._own_counts.items()]
-        for fingerprint, by_entry in self._entry_counts.items():
-            known += [(entry_id, fingerprint, crashes) for entry_id, crashes in by_entry.items()]
-        newest = heapq.nlargest(MAX_REPORTED, known, key=lambda item: item[2].last_s)
+        if self._newest is None:
+            self._drop_expired(now_s)
+            self._newest = self._find_newest()
         return tuple(
             EntryCrashCount(entry_id, fingerprint, crashes.count, now_s - crashes.last_s)
-            for entry_id, fingerprint, crashes in newest
+            for entry_id, fingerprint, crashes in self._newest
+            if now_s - crashes.last_s < RETENTION_S
         )
 
+    def _find_newest(self) -> list[tuple[str, str, _CrashCount]]:
+        known = [(self.entry_id, f, crashes) for f, crashes in self._own_counts.items()]
+        for fingerprint, by_entry in self._entry_counts.items():
+            known += [(entry_id, fingerprint, crashes) for entry_id, crashes in by_entry.items()]
+        return heapq.nlargest(MAX_REPORTED, known, key=lambda item: item[2].last_s)
+
     def _set_entry_count(
         self, fingerprint: str, entry_id: str, crashes: _CrashCount, now_s: float
     ) -> None:
@@ -119,6 +127,7 @@
         if entry_id not in by_entry and len(by_entry) >= MAX_ENTRIES:
             del by_entry[min(by_entry, key=lambda e: by_entry[e].last_s)]
         by_entry[entry_id] = crashes
+        self._newest = None
 
     def _count(self, fingerprint: str, now_s: float) -> int:
         found = list(self._entry_counts.get(fingerprint, {}).values())
