Carry a configuration once and packed, and tell what a watch found

Change: news names the newest known revision beside the complete one; a pull names the revisions that it holds above its complete one; one pull a mirror, a second peer after 0.5 s; values from 2 KiB travel packed between peers that both can; the watch goes on after the newest revision; a read of the upstreams confirms the configuration if the store's revision has not passed its copy. copy_slow is logged for copies that take over 0.5 s. Earlier releases get and send what they did.

Test first: complete entries in passed time (testing/fleet.py).

--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from attrs import define, field, frozen
 
@@ -81,6 +81,7 @@
     _changes_by_key: dict[str, Change] = field(factory=dict)
     _tombstones: dict[str, int] = field(factory=dict)
     _pruned_revision: int = 0
+    _newest_change: int = 0
     # Versions of the values deleted in this era, and in earlier ones, which an older copy of the
     # store must not bring back.
     _deleted_versions: dict[str, DocumentVersion] = field(factory=dict)
@@ -96,6 +97,11 @@
         """Return whether a full copy has been applied."""
         return self.complete_revision > 0
 
+    @property
+    def newest_revision(self) -> int:
+        """Return the newest known revision, which may be above the complete one."""
+        return max(self.complete_revision, self._newest_change)
+
     def get(self, key: str) -> Change | None:
         """Return the newest value of a key."""
         return self._changes_by_key.get(key)
@@ -145,12 +151,18 @@
         self.confirmed_s = max(self.confirmed_s, requested_s - delta.age_s)
         return changed
 
-    def is_behind(self, era: int, complete_revision: int) -> bool:
+    def is_behind(self, era: int, complete_revision: int, newest_revision: int = 0) -> bool:
         """Return whether a copy at a position in the store is newer than this one."""
-        return complete_revision > 0 and (era, complete_revision) > (
-            self.era,
-            self.complete_revision,
-        )
+        if complete_revision <= 0 or era < self.era:
+            return False
+        if era > self.era or complete_revision > self.complete_revision:
+            return True
+        return newest_revision > self.newest_revision
+
+    def revisions_ahead(self) -> list[int]:
+        """Return the revisions of the held values that are above the complete revision."""
+        held = (change.revision for change in self._changes_by_key.values())
+        return [revision for revision in held if revision > self.complete_revision]
 
     def apply_confirmation(
         self, complete_revision: int, age_s: float, requested_s: float, era: int = 0
@@ -159,15 +171,22 @@
         if era == self.era and 0 < complete_revision <= self.complete_revision:
             self.confirmed_s = max(self.confirmed_s, requested_s - age_s)
 
-    def delta_after(self, revision: int, now_s: float, era: int = 0) -> Delta:
+    def delta_after(
+        self, revision: int, now_s: float, era: int = 0, held: Container[int] = ()
+    ) -> Delta:
         """Return the changes for a peer whose copy is complete up to a revision of an era.
 
-        Values kept from an earlier era are left out: the store does not confirm them.
+        held are later revisions whose values the peer has, so that none is sent twice. Values kept
+        from an earlier era are left out: the store does not confirm them.
         """
         if era != self.era or revision < self._pruned_revision or revision == 0:
             changes = tuple(c for c in self._changes_by_key.values() if c.revision != EARLIER_ERA)
             return Delta(changes, self.complete_revision, self.age_s(now_s), True, self.era)
-        changes = [c for c in self._changes_by_key.values() if c.revision > revision]
+        changes = [
+            c
+            for c in self._changes_by_key.values()
+            if c.revision > revision and c.revision not in held
+        ]
         changes += [Change(k, r, None) for k, r in self._tombstones.items() if r > revision]
         return Delta(tuple(changes), self.complete_revision, self.age_s(now_s), False, self.era)
 
@@ -178,7 +197,7 @@
         # The first copy of a new process is of no later era than any before it.
         self._era_entered_s = now_s if self.has_snapshot else None
         self.era = era
-        self.complete_revision = 0
+        self.complete_revision = self._newest_change = 0
         self.confirmed_s = NEVER_CONFIRMED_S
         self._pruned_revision = 0
         self._tombstones.clear()
@@ -233,6 +252,7 @@
         return changed
 
     def _apply(self, change: Change) -> bool:
+        self._newest_change = max(self._newest_change, change.revision)
         known = self._changes_by_key.get(change.key)
         known_revision = known.revision if known else self._tombstones.get(change.key, 0)
         if change.revision <= known_revision or self._is_outdated(change):
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -15,7 +15,7 @@
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.engine_status import EngineStatusTable
 from daisystack.core.membership import Member, MemberRole, usable_entries
-from daisystack.core.mirror import Change, Mirror
+from daisystack.core.mirror import Change, Mirror, Snapshot
 from daisystack.core.placement import Placement
 from daisystack.core.readers import MAX_READER_RANK, mirror_bound_s
 from daisystack.core.stopping import StopTimes
@@ -140,6 +140,10 @@
             )
             for mirror in self.mirrors.values()
         ]
+        operator_task, upstream_task = self.mirror_tasks
+        # The configuration may be long, the list of upstreams is short.
+        operator_task.confirmer = upstream_task
+        upstream_task.on_snapshot = self._confirm_operator_mirror
 
     @property
     def is_ready(self) -> bool:
@@ -158,9 +162,7 @@
         serve_peers(parse_address(self.settings.peer_address), MeshHandler(self.mesh, self.pieces))
         relay = EngineRelay(self.placement.engines, self.mesh)
         relay.start(parse_address(self.settings.news_address))
-        for task in self.mirror_tasks:
-            task.start()
-        self.mirror_tasks[0].start_watch()
+        self.start_reading()
         self.metrics.start()
         identity = self.settings.identity
         incarnation = self.mesh.own.incarnation
@@ -175,12 +177,23 @@
         self.mesh.start()
         self.server.start()
 
+    def start_reading(self) -> None:
+        """Start to keep the mirrors up to date."""
+        for task in self.mirror_tasks:
+            task.start()
+        self.mirror_tasks[0].start_watch()
+
     def apply_changes(self, mirror: Mirror, changes: list[Change]) -> None:
         """Apply changes of a mirror and spread them over the mesh."""
         self.published.apply_changes(mirror, changes)
         self.mesh.set_own_state(self.is_ready, self.is_leaving)
         self.mesh.exchange_news()
 
+    def _confirm_operator_mirror(self, snapshot: Snapshot) -> None:
+        """Confirm the configuration by a read of another prefix at a revision that it has."""
+        mirror = self.mirrors[self.operator_prefix]
+        mirror.apply_confirmation(snapshot.revision, 0.0, snapshot.requested_s, snapshot.era)
+
     def find_origin(self) -> tuple[WeightOrigin, str] | None:
         """Return the origin of weights and its zone, or None if none is published."""
         policy = self.published.policy
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -12,6 +12,7 @@
     "AttemptEnded",
     "CallerRefused",
     "ChunkRejected",
+    "CopySlow",
     "CrashCounted",
     "DaemonStarted",
     "DaemonStopped",
@@ -166,6 +167,15 @@
     held_count: int
 
 
+@frozen(eq=False, repr=False)
+class CopySlow:
+    """A copy of published documents took long to arrive from the store or a peer."""
+
+    prefix: str
+    source: str
+    took_s: float
+
+
 @frozen(eq=False, repr=False)
 class PeerSilent:
     """A peer does not answer."""
--- a/daisystack/runtime/mesh_handler.py
+++ b/daisystack/runtime/mesh_handler.py
@@ -30,11 +30,23 @@
         self.mesh_task.apply_news(mine, None)
         return answer
 
-    def mirror(self, prefix: str, after_revision: int, era: int) -> ttypes.MirrorDelta:
-        """Return the changes of a mirror after a revision of an era; none for an unknown prefix."""
+    def mirror(
+        self,
+        prefix: str,
+        after_revision: int,
+        era: int,
+        held: list[int] | None = None,
+        accepts_packed: bool | None = None,
+    ) -> ttypes.MirrorDelta:
+        """Return the changes of a mirror after a revision of an era; none for an unknown prefix.
+
+        The values of the held revisions are left out. Peers of an earlier release state neither
+        these nor whether they accept packed values.
+        """
         for mirror in self.mesh_task.mirrors:
             if mirror.prefix == prefix:
-                return mesh.delta_to_wire(mirror.delta_after(after_revision, now_s(), era))
+                delta = mirror.delta_after(after_revision, now_s(), era, held or ())
+                return mesh.delta_to_wire(delta, bool(accepts_packed))
         return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [], 0)
 
     def digests(self, model: str, version: int, wait_ms: int) -> list[str]:
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -18,7 +18,7 @@
 from daisystack.core.mirror import Mirror
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.events import PeerHeard, PeerSilent, TargetTold
+from daisystack.runtime.events import CopySlow, PeerHeard, PeerSilent, TargetTold
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link
 from daisystack.runtime.tasks import run_logged, run_steps
@@ -33,6 +33,9 @@
 MIN_PUSH_INTERVAL_S = 0.1
 # A peer that does not answer within this time is tried again in a later round.
 PEER_TIMEOUT_S = 0.7
+# A second peer is asked for a copy that the first one has not sent within this time.
+PULL_PATIENCE_S = 0.5
+SLOW_COPY_S = 0.5
 # A longer gap between two checks means that this process was paused, not that its peers were
 # unresponsive.
 MIN_PAUSE_S = 1.2
@@ -69,6 +72,7 @@
     on_parts: Callable[[tuple[PartEvidence, ...], float], None] = lambda parts, at_s: None
     engines: EngineStatusTable = field(factory=EngineStatusTable)
     targets: Targets = field(factory=Targets)
+    open_link: Callable[[str, float], PeerLink] = mesh_link
     on_target: list[Callable[[WeightTarget], None]] = field(factory=list)
     membership: Membership = field(init=False)
     exchanges: int = 0
@@ -79,8 +83,8 @@
     _rounds: int = 0
     _pushed_s: float = float("-inf")
     _is_push_due: bool = False
-    # Era and revision of each mirror that is being pulled from a peer, by prefix.
-    _pulled_positions: dict[str, tuple[int, int]] = field(factory=dict)
+    # When the latest pull of each mirror from a peer began, by prefix, while it runs.
+    _pull_started_s: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(self.own.id, self.own.zone)
@@ -141,7 +145,11 @@
         crashes = [mesh.crash_count_to_wire(known) for known in self.known_crash_counts(at_s)]
         states = [
             ttypes.MirrorState(
-                m.prefix, m.complete_revision, _optional_age_to_ms(m.age_s(at_s)), m.era
+                m.prefix,
+                m.complete_revision,
+                _optional_age_to_ms(m.age_s(at_s)),
+                m.era,
+                m.newest_revision,
             )
             for m in self.mirrors
         ]
@@ -226,32 +234,44 @@
             mirror = by_prefix.get(state.prefix)
             if mirror is None:
                 continue
-            if mirror.is_behind(state.era, state.complete_revision):
-                position = (state.era, state.complete_revision)
-                self._start_pull(mirror, position, news.sender.peer_address)
-            elif requested_s is not None and state.age_ms >= 0:
+            # Absent in the news of an earlier release.
+            newest_revision = state.newest_revision or 0
+            if mirror.is_behind(state.era, state.complete_revision, newest_revision):
+                self._start_pull(mirror, news.sender.peer_address)
+            if requested_s is not None and state.age_ms >= 0:
                 age_s = state.age_ms / MS_PER_S
                 mirror.apply_confirmation(state.complete_revision, age_s, requested_s, state.era)
 
-    def _start_pull(self, mirror: Mirror, position: tuple[int, int], address: str) -> None:
-        """Pull a peer's newer copy, unless one of at least this position is being pulled."""
-        if position > self._pulled_positions.get(mirror.prefix, (0, 0)):
-            self._pulled_positions[mirror.prefix] = position
-            eventlet.spawn(self._pull, mirror, position, address)
+    def _start_pull(self, mirror: Mirror, address: str) -> None:
+        """Pull a peer's newer copy, unless another pull may still bring it."""
+        at_s = now_s()
+        if at_s - self._pull_started_s.get(mirror.prefix, float("-inf")) >= PULL_PATIENCE_S:
+            self._pull_started_s[mirror.prefix] = at_s
+            eventlet.spawn(self._pull, mirror, at_s, address)
 
-    def _pull(self, mirror: Mirror, position: tuple[int, int], address: str) -> None:
-        link = mesh_link(address, PEER_TIMEOUT_S)
+    def _pull(self, mirror: Mirror, started_s: float, address: str) -> None:
+        link = self.open_link(address, PEER_TIMEOUT_S)
         requested_s = now_s()
         try:
-            wire = link.call("mirror", mirror.prefix, mirror.complete_revision, mirror.era)
-        except PeerError as error:
+            wire = link.call(
+                "mirror",
+                mirror.prefix,
+                mirror.complete_revision,
+                mirror.era,
+                mirror.revisions_ahead(),
+                True,
+            )
+            delta = mesh.delta_from_wire(wire)
+        except (PeerError, ValueError) as error:
             log_event(_logger, PeerSilent(address, str(error)))
             return
         finally:
             link.close()
-            if self._pulled_positions.get(mirror.prefix) == position:
-                del self._pulled_positions[mirror.prefix]
-        changes = mirror.apply_delta(mesh.delta_from_wire(wire), requested_s)
+            if self._pull_started_s.get(mirror.prefix) == started_s:
+                del self._pull_started_s[mirror.prefix]
+        if now_s() - requested_s > SLOW_COPY_S:
+            log_event(_logger, CopySlow(mirror.prefix, address, now_s() - requested_s))
+        changes = mirror.apply_delta(delta, requested_s)
         if changes:
             self.on_changes(mirror, changes)
             self.exchange_news()
@@ -289,7 +309,7 @@
         return peers | {random.choice(unknown_seeds): UNKNOWN_ZONE}
 
     def _exchange_with(self, address: str, zone: str) -> None:
-        link = self._links.setdefault(address, mesh_link(address, PEER_TIMEOUT_S))
+        link = self._links.setdefault(address, self.open_link(address, PEER_TIMEOUT_S))
         requested_s = now_s()
         self.exchanges += 1
         try:
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -8,12 +8,13 @@
 
 import eventlet
 from attrs import define
+from eventlet.event import Event
 
 from daisystack.backends import BackendError, PublishedStore
-from daisystack.core.mirror import Mirror
+from daisystack.core.mirror import Mirror, Snapshot
 from daisystack.core.readers import BASE_BOUND_S, max_mirror_age_s
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.events import DependencyLost, DependencyRegained, StoreEraChanged
+from daisystack.runtime.events import CopySlow, DependencyLost, DependencyRegained, StoreEraChanged
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.tasks import run_steps
 
@@ -29,13 +30,18 @@
 WATCH_CHECK_INTERVAL_S = 0.5
 # Weight of the latest read in the moving average of the read latency.
 LATENCY_SMOOTHING = 0.3
+SLOW_COPY_S = 0.5
 
 _logger = logging.getLogger("daisystack.mirror")
 
 
 @define(eq=False)
 class MirrorTask:
-    """Read one mirror from the store if no closer process has confirmed it recently."""
+    """Read one mirror from the store if no closer process has confirmed it recently.
+
+    confirmer is the task of a shorter mirror of the same store: if the store has not changed since
+    this mirror's copy, a read of the shorter one confirms both.
+    """
 
     mirror: Mirror
     store: PublishedStore
@@ -43,9 +49,19 @@
     on_changes: Callable[[Mirror, list], None]
     # Time within which a publication must be in force.
     publication_bound_s: float = BASE_BOUND_S
+    confirmer: MirrorTask | None = None
+    on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
     calls: int = 0
     _is_store_lost: bool = False
     _read_latency_s: float = 0.0
+    # Set while a read runs, for others that need its result.
+    _running_read: Event | None = None
+
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the latest read failed, also one that was to confirm this mirror."""
+        confirmer = self.confirmer
+        return self._is_store_lost or (confirmer is not None and confirmer.is_store_lost)
 
     def start(self) -> None:
         """Start to read."""
@@ -55,8 +71,26 @@
         """Start to watch as well, whenever this process is the first reader of its zone."""
         eventlet.spawn(run_steps, f"watch of {self.mirror.prefix}", self._watch)
 
+    def refresh(self) -> bool:
+        """Confirm the mirror by the store now and return whether this succeeded."""
+        if self.confirmer is not None and self.mirror.has_snapshot:
+            if not self.confirmer.refresh():
+                return False
+            if self.mirror.confirmed_s >= self.confirmer.mirror.confirmed_s:
+                return True
+        if self._running_read is not None:
+            return self._running_read.wait()
+        self._running_read = running_read = Event()
+        succeeded = False
+        try:
+            succeeded = self._read()
+        finally:
+            self._running_read = None
+            running_read.send(succeeded)
+        return succeeded
+
     def _watch(self) -> None:
-        is_reader = self.reader_rank() == 0 and not self._is_store_lost
+        is_reader = self.reader_rank() == 0 and not self.is_store_lost
         if not self.mirror.has_snapshot or not is_reader:
             eventlet.sleep(WATCH_CHECK_INTERVAL_S)
             return
@@ -65,7 +99,8 @@
         try:
             events = self.store.watch(
                 self.mirror.prefix,
-                self.mirror.complete_revision,
+                # Known changes are not sent again; reads find those that the watch misses.
+                self.mirror.newest_revision,
                 WATCH_TIMEOUT_S,
                 era,
             )
@@ -77,7 +112,6 @@
         if changes:
             self.on_changes(self.mirror, changes)
         elif events:
-            # Events already known come again until a read advances the revision to watch from.
             eventlet.sleep(MIN_WAIT_S)
 
     def _step(self) -> None:
@@ -90,27 +124,30 @@
         if wait_s > 0:
             eventlet.sleep(max(MIN_WAIT_S, min(wait_s, max_age_s)))
             return
-        self._read()
+        if not self.refresh():
+            eventlet.sleep(RETRY_S * random.uniform(0.5, 1.5))
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
         self.calls += 1
         try:
             snapshot = self.store.read(self.mirror.prefix)
         except BackendError as error:
             self._record_lost(str(error))
-            eventlet.sleep(RETRY_S * random.uniform(0.5, 1.5))
-            return
+            return False
         self._record_regained()
-        self._read_latency_s += LATENCY_SMOOTHING * (
-            now_s() - snapshot.requested_s - self._read_latency_s
-        )
+        took_s = now_s() - snapshot.requested_s
+        self._read_latency_s += LATENCY_SMOOTHING * (took_s - self._read_latency_s)
+        if took_s > SLOW_COPY_S:
+            log_event(_logger, CopySlow(self.mirror.prefix, "store", took_s))
         era = self.mirror.era
         changes = self.mirror.apply_snapshot(snapshot)
         if self.mirror.era != era and era:
             held = len(self.mirror)
             log_event(_logger, StoreEraChanged(self.mirror.prefix, era, self.mirror.era, held))
+        self.on_snapshot(snapshot)
         if changes:
             self.on_changes(self.mirror, changes)
+        return True
 
     def _record_lost(self, error: str) -> None:
         if not self._is_store_lost:
--- /dev/null
+++ b/daisystack/testing/fleet.py
@@ -0,0 +1,356 @@
+"""Run complete entries against a simulated store and narrow links, in passed time, no sockets."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from unittest import mock
+
+import eventlet
+from attrs import define, field, frozen
+from eventlet import hubs, patcher
+from eventlet.hubs.hub import BaseHub
+
+from daisystack.backends import BackendError
+from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
+from daisystack.core.mirror import Change, Snapshot
+from daisystack.core.traffic import TrafficPolicy
+from daisystack.runtime import clock
+from daisystack.runtime.direct_entry import READER_DUTY, DirectEntry
+from daisystack.runtime.mesh_handler import MeshHandler
+from daisystack.runtime.peer_link import PeerError
+from daisystack.testing.direct import PlainDialect
+
+__all__ = ["EntryFleet", "FleetStore", "build_config", "run_in_passed_time"]
+
+BYTES_PER_MBIT = 125_000.0
+# Transfers over a link take turns of this size.
+TURN_BYTES = 16_384
+IN_ZONE_LATENCY_S = 0.0005
+CROSS_ZONE_LATENCY_S = 0.004
+STORE_ANSWER_S = 0.004
+GOSSIP_BYTES = 953
+REQUEST_BYTES = 300
+STORE_ZONE = "z0"
+CONFIG_KEY = "op/config"
+UPSTREAMS = 48
+
+
+class PassedTimeHub(BaseHub):
+    """Event loop whose clock jumps to the next timer; it waits for no descriptors."""
+
+    def __init__(self) -> None:
+        self.at_s = 0.0
+        super().__init__(lambda: self.at_s)
+
+    @classmethod
+    def is_available(cls) -> bool:
+        """Return that eventlet may use this loop."""
+        return True
+
+    def wait(self, seconds: float | None = None) -> None:
+        """Pass time up to the next timer."""
+        self.at_s = max(self.at_s + (seconds or 0.0), self.sleep_until() or 0.0)
+
+
+def run_in_passed_time(action: Callable[[], object]) -> object:
+    """Return the result of an action, run in a thread of its own whose time passes at once."""
+    results: list[object] = []
+    errors: list[BaseException] = []
+
+    def run() -> None:
+        hubs.use_hub(PassedTimeHub)
+        passed_time = mock.Mock(wraps=clock.time)
+        passed_time.clock_gettime = lambda _: 1000.0 + hubs.get_hub().at_s
+        with mock.patch.object(clock, "time", passed_time):
+            try:
+                results.append(action())
+            except BaseException as error:  # raised again in the thread that waits
+                errors.append(error)
+        hubs.get_hub().abort()
+
+    thread = patcher.original("threading").Thread(target=run)
+    thread.start()
+    thread.join()
+    if errors:
+        raise errors[0]
+    return results[0]
+
+
+def build_config(version: int, routes: int) -> bytes:
+    """Return a configuration document with a number of routes, each with names of its own."""
+    draw = random.Random(version)
+    names = [f"{draw.getrandbits(40):x}" for _ in range(routes)]
+    fields = {"kind": "safe", "timeout_ms": 800, "service": "loan-ledger", "max_attempts": 2}
+    fields |= {"priority": 2, "public": False, "latency_ms": 300, "pause_ms": 0}
+    documents = [{"name": n, "host": f"{n}.example", "prefix": f"/{n}/"} | fields for n in names]
+    return json.dumps({"version": version, "routes": documents}).encode()
+
+
+class FleetReader:
+    """Decode only the version of a configuration."""
+
+    def read(self, change: Change) -> TrafficPolicy | None:
+        """Return a policy without routes for the configuration, None for other keys."""
+        if change.key != CONFIG_KEY:
+            return None
+        return TrafficPolicy(int(change.value[12:].partition(b",")[0]), (), {})
+
+    def upstream_id(self, key: str) -> str | None:
+        """Return that no key is an upstream's."""
+        return None
+
+    def document_version(self, key: str, value: bytes) -> None:
+        """Return that values state no version."""
+        return
+
+
+@define(eq=False)
+class Link:
+    """Link whose transfers take turns."""
+
+    bytes_per_s: float
+    busy_until_s: float = 0.0
+    sent_bytes: int = 0
+
+    def reserve(self, count: int, at_s: float) -> float:
+        """Return when a number of bytes that are sent now have passed."""
+        self.sent_bytes += count
+        self.busy_until_s = max(self.busy_until_s, at_s) + count / self.bytes_per_s
+        return self.busy_until_s
+
+
+def transfer(links: list[Link], count: int, timeout_s: float) -> None:
+    """Pass time until bytes went over all links; raise TimeoutError after a silence."""
+    for offset in range(0, max(1, count), TURN_BYTES):
+        at_s = clock.now_s()
+        turn = min(TURN_BYTES, count - offset)
+        arrives_s = max((link.reserve(turn, at_s) for link in links), default=at_s)
+        eventlet.sleep(min(timeout_s, arrives_s - at_s))
+        if arrives_s - at_s > timeout_s:
+            raise TimeoutError("read timeout")
+
+
+@define(eq=False)
+class FleetStore:
+    """Store whose range reads are linearizable and whose watches may miss changes."""
+
+    items: dict[str, Change] = field(factory=dict)
+    revision: int = 1
+    calls: int = 0
+    is_down: bool = False
+    # Watches hear nothing before this time, as while the history is dropped.
+    deaf_until_s: float = 0.0
+
+    def write(self, key: str, value: bytes) -> None:
+        """Publish a value."""
+        self.revision += 1
+        self.items[key] = Change(key, self.revision, value)
+
+
+@frozen(eq=False)
+class StoreClient:
+    """The store as one entry reaches it."""
+
+    store: FleetStore
+    machine: SimulatedMachine
+
+    def read(self, prefix: str) -> Snapshot:
+        """Return all keys under a prefix."""
+        self._begin_call()
+        requested_s = clock.now_s()
+        eventlet.sleep(self.machine.store_latency_s + STORE_ANSWER_S)
+        changes = self._under(prefix, 0)
+        snapshot = Snapshot(changes, self.store.revision, requested_s)
+        self._receive(changes)
+        return snapshot
+
+    def watch(self, prefix: str, after_revision: int, wait_s: float, era: int) -> tuple:
+        """Return the changes after a revision as soon as there are any."""
+        self._begin_call()
+        ends_s = clock.now_s() + wait_s
+        while clock.now_s() < ends_s:
+            changes = self._under(prefix, after_revision)
+            if changes and clock.now_s() >= self.store.deaf_until_s:
+                self._receive(changes)
+                return changes
+            eventlet.sleep(0.01)
+        return ()
+
+    def _begin_call(self) -> None:
+        self.store.calls += 1
+        if self.store.is_down or self.machine.is_cut_off or self.machine.is_turned_away:
+            eventlet.sleep(0.01)
+            raise BackendError("the store is down")
+
+    def _under(self, prefix: str, after_revision: int) -> tuple[Change, ...]:
+        items = self.store.items.values()
+        return tuple(c for c in items if c.key.startswith(prefix) and c.revision > after_revision)
+
+    def _receive(self, changes: tuple[Change, ...]) -> None:
+        count = sum(120 + len(change.value) * 4 // 3 for change in changes)
+        try:
+            transfer([*self.machine.store_links, self.machine.downlink], count, 1.0)
+        except TimeoutError as error:
+            raise BackendError(str(error)) from error
+        eventlet.sleep(self.machine.store_latency_s)
+
+
+@define(eq=False)
+class SimulatedMachine:
+    """One entry with its links, and when it took which configuration."""
+
+    id: str
+    zone: str
+    uplink: Link
+    downlink: Link
+    store_latency_s: float
+    store_links: list[Link]
+    entry: DirectEntry = field(init=False)
+    handler: MeshHandler = field(init=False)
+    taken: list[tuple[float, int]] = field(factory=list)
+    is_cut_off: bool = False
+    # The store refuses this machine.
+    is_turned_away: bool = False
+    # Peers' copies don't arrive, only their news.
+    is_without_copies: bool = False
+
+
+@define
+class SimulatedLink:
+    """Link of one entry to a peer, in place of a PeerLink."""
+
+    fleet: EntryFleet
+    own: SimulatedMachine
+    address: str
+    timeout_s: float
+
+    def call(self, method: str, *arguments):
+        """Call a method of the peer; raise PeerError after a silence."""
+        peer = self.fleet.machines.get(self.address)
+        is_lost = method == "mirror" and self.own.is_without_copies
+        if peer is None or peer.is_cut_off or self.own.is_cut_off or is_lost:
+            eventlet.sleep(0.5)
+            raise PeerError("could not connect")
+        try:
+            self._send(self.own, peer, GOSSIP_BYTES if method == "gossip" else REQUEST_BYTES)
+            answer = getattr(peer.handler, method)(*arguments)
+            self._send(peer, self.own, answer_bytes(method, answer))
+        except TimeoutError as error:
+            raise PeerError(str(error)) from error
+        return answer
+
+    def close(self) -> None:
+        """Close nothing."""
+
+    def _send(self, source: SimulatedMachine, target: SimulatedMachine, count: int) -> None:
+        between = self.fleet.links_between(source.zone, target.zone)
+        eventlet.sleep(CROSS_ZONE_LATENCY_S if between else IN_ZONE_LATENCY_S)
+        transfer([source.uplink, *between, target.downlink], count, self.timeout_s)
+
+
+def answer_bytes(method: str, answer) -> int:
+    """Return the size of a peer's answer."""
+    if method != "mirror":
+        return GOSSIP_BYTES
+    return REQUEST_BYTES + sum(40 + len(item.value) for item in answer.items)
+
+
+@define(eq=False)
+class EntryFleet:
+    """Entries spread over zones, one of which holds the store."""
+
+    size: int
+    zones: int
+    bound_s: float
+    machine_mbps: float = 20.0
+    region_mbps: float = 13.0
+    store: FleetStore = field(factory=FleetStore)
+    machines: dict[str, SimulatedMachine] = field(factory=dict)
+    published_s: dict[int, float] = field(factory=dict)
+    lost: list[SimulatedMachine] = field(factory=list)
+    quiet_calls_per_s: float = 0.0
+    quiet_bytes_per_s: float = 0.0
+    _region_links: dict[tuple[str, str], Link] = field(factory=dict)
+
+    def start(self, settle_s: float = 6.0) -> None:
+        """Start all entries with a small configuration and pass time until they are settled."""
+        for index in range(UPSTREAMS):
+            self.store.write(f"up/{index}", b"x" * 150)
+        self.publish(1, 40)
+        for index in range(self.size):
+            self._start_machine(index, f"z{index % self.zones}")
+        eventlet.sleep(settle_s)
+
+    def publish(self, version: int, routes: int) -> None:
+        """Publish a configuration."""
+        self.store.write(CONFIG_KEY, build_config(version, routes))
+        self.published_s[version] = clock.now_s()
+
+    def lose_readers(self, per_zone: int) -> list[SimulatedMachine]:
+        """Cut off the first readers of each zone."""
+        at_s = clock.now_s()
+        for machine in self.machines.values():
+            if machine.entry.mesh.rank_in_zone(READER_DUTY, at_s) < per_zone:
+                machine.is_cut_off = True
+                self.lost.append(machine)
+        return self.lost
+
+    def step_time_of_day(self, step_s: float) -> None:
+        """Change the time of day by some seconds."""
+        now = clock.time.time()
+        clock.time.time = lambda: now + step_s
+
+    def worst_delays_s(self) -> dict[int, float]:
+        """Return for each version how long the last entry took to have it or a newer one."""
+        return {
+            version: max(
+                self._delay_s(m, version) for m in self.machines.values() if m not in self.lost
+            )
+            for version in self.published_s
+            if version > 1
+        }
+
+    def links_between(self, zone: str, other: str) -> list[Link]:
+        """Return the links that bytes from one zone to another pass."""
+        if zone == other:
+            return []
+        rate = self.region_mbps * BYTES_PER_MBIT
+        return [self._region_links.setdefault((zone, other), Link(rate))]
+
+    def region_bytes(self) -> int:
+        """Return the bytes that were sent between zones."""
+        return sum(link.sent_bytes for link in self._region_links.values())
+
+    def _delay_s(self, machine: SimulatedMachine, version: int) -> float:
+        taken_s = next((at_s for at_s, v in machine.taken if v >= version), float("inf"))
+        return taken_s - self.published_s[version]
+
+    def _start_machine(self, index: int, zone: str) -> None:
+        address = f"10.0.{index // 200}.{index % 200 + 1}:7"
+        rate = self.machine_mbps * BYTES_PER_MBIT
+        between = self.links_between(STORE_ZONE, zone)
+        latency_s = CROSS_ZONE_LATENCY_S if between else IN_ZONE_LATENCY_S
+        machine = SimulatedMachine(f"e{index}", zone, Link(rate), Link(rate), latency_s, between)
+        seeds = tuple(list(self.machines)[:3])
+        identity = ProcessIdentity(machine.id, zone, zone, seeds)
+        addresses = ["10.1.0.1:1", address, *["10.1.0.1:1"] * 4]
+        bounds = (1.0, 8.0, self.bound_s, 5.0, 8.0, 0.2, 100.0, 10.0)
+        machine.entry = entry = DirectEntry(
+            DirectEntrySettings(identity, *addresses, *bounds),
+            "op/",
+            "up/",
+            StoreClient(self.store, machine),
+            FleetReader(),
+            PlainDialect(),
+            None,
+        )
+        entry.published.on_policy.append(
+            lambda policy: machine.taken.append((clock.now_s(), policy.version))
+        )
+        entry.mesh.open_link = lambda peer, timeout_s: SimulatedLink(self, machine, peer, timeout_s)
+        machine.handler = MeshHandler(entry.mesh, entry.pieces)
+        self.machines[address] = machine
+        entry.start_reading()
+        entry.mesh.start()
--- a/daisystack/tests/test_mirror.py
+++ b/daisystack/tests/test_mirror.py
@@ -51,6 +51,42 @@
         mirror.apply_delta(Delta((), 7, 2.0, True), requested_s=10.0)
         self.assertEqual(mirror.age_s(11.0), 3.0)
 
+    def test_a_copy_behind_by_what_a_watch_found_is_behind(self):
+        """Guards against changes found by a watch that no peer hears of until the next read."""
+        watching, other = Mirror("op/"), Mirror("op/")
+        for mirror in (watching, other):
+            mirror.apply_snapshot(Snapshot((Change("op/a", 4, b"x"),), 7, 1.0))
+        watching.apply_events([Change("op/a", 9, b"y")])
+        self.assertTrue(other.is_behind(0, 7, watching.newest_revision))
+        other.apply_delta(watching.delta_after(7, 2.0), 2.0)
+        self.assertFalse(other.is_behind(0, 7, watching.newest_revision))
+        self.assertEqual((other.get("op/a").value, other.complete_revision), (b"y", 7))
+
+    def test_a_value_that_the_peer_holds_is_not_sent_again(self):
+        """Guards against a long value that crosses a link for each newer position."""
+        mirror, other = Mirror("op/"), Mirror("op/")
+        for copy in (mirror, other):
+            copy.apply_snapshot(Snapshot((), 7, 1.0))
+            copy.apply_events([Change("op/a", 9, b"long")])
+        mirror.apply_snapshot(
+            Snapshot((Change("op/a", 9, b"long"), Change("op/b", 8, b"")), 9, 2.0)
+        )
+        delta = mirror.delta_after(7, 2.0, 0, other.revisions_ahead())
+        self.assertEqual([change.key for change in delta.changes], ["op/b"])
+        other.apply_delta(delta, 2.0)
+        self.assertEqual((other.complete_revision, len(other)), (9, 2))
+
+    def test_copies_of_the_same_position_are_not_behind_each_other(self):
+        """Guards against endless pulls between a copy that saw a deletion and one that read it."""
+        read, watched = Mirror("op/"), Mirror("op/")
+        for mirror in (read, watched):
+            mirror.apply_snapshot(Snapshot((Change("op/a", 4, b"x"),), 7, 1.0))
+        watched.apply_events([Change("op/a", 8, None)])
+        read.apply_snapshot(Snapshot((), 9, 2.0))
+        watched.apply_snapshot(Snapshot((), 9, 2.0))
+        self.assertFalse(read.is_behind(0, 9, watched.newest_revision))
+        self.assertFalse(watched.is_behind(0, 9, read.newest_revision))
+
     def test_confirmation_applies_only_up_to_own_complete_revision(self):
         mirror = Mirror("op/")
         mirror.apply_snapshot(Snapshot((), 7, 1.0))
@@ -69,6 +105,8 @@
         self.items = {}
         # (time, revision) of the store, to check what a mirror confirmed at a time must hold.
         self.history = [(0.0, 1)]
+        # The store's items at each revision.
+        self.items_at = {1: {}}
         self.mirrors = [Mirror("op/"), Mirror("op/")]
         self.highest = [{}, {}]
         self.pending = []
@@ -77,13 +115,22 @@
     def publish(self, key, value):
         self.revision += 1
         self.items[key] = Change(key, self.revision, value)
-        self.history.append((self.now_s, self.revision))
+        self._record_history()
 
     @rule(key=st.sampled_from(KEYS))
     def delete(self, key):
         if self.items.pop(key, None):
             self.revision += 1
-            self.history.append((self.now_s, self.revision))
+            self._record_history()
+
+    @rule()
+    def change_other_prefix(self):
+        self.revision += 1
+        self._record_history()
+
+    def _record_history(self):
+        self.history.append((self.now_s, self.revision))
+        self.items_at[self.revision] = dict(self.items)
 
     @rule(elapsed_s=st.floats(0.01, 5.0))
     def wait(self, elapsed_s):
@@ -97,23 +144,29 @@
     @rule(mirror_index=st.integers(0, 1), after=st.integers(0, 3))
     def request_peer(self, mirror_index, after):
         mirror = self.mirrors[mirror_index]
-        self.pending.append(
-            (mirror_index, "peer", self.now_s, max(0, mirror.complete_revision - after))
-        )
+        asked = (max(0, mirror.complete_revision - after), mirror.revisions_ahead())
+        self.pending.append((mirror_index, "peer", self.now_s, asked))
+
+    @rule(mirror_index=st.integers(0, 1), delay_s=st.floats(0.0, 4.0))
+    def read_other_prefix(self, mirror_index, delay_s):
+        requested_s, revision = self.now_s, self.revision
+        self.now_s += delay_s
+        self.mirrors[mirror_index].apply_confirmation(revision, 0.0, requested_s)
 
     @rule(index=st.integers(0, 50), delay_s=st.floats(0.0, 4.0))
     def receive_response(self, index, delay_s):
         """Deliver the response to any pending request; it may arrive long after it was created."""
         if not self.pending:
             return
-        mirror_index, source, requested_s, after = self.pending.pop(index % len(self.pending))
+        mirror_index, source, requested_s, asked = self.pending.pop(index % len(self.pending))
         mirror = self.mirrors[mirror_index]
         if source == "store":
             response = Snapshot(tuple(self.items.values()), self.revision, requested_s)
             self.now_s += delay_s
             mirror.apply_snapshot(response)
         else:
-            response = self.mirrors[1 - mirror_index].delta_after(after, self.now_s)
+            after, held = asked
+            response = self.mirrors[1 - mirror_index].delta_after(after, self.now_s, 0, held)
             self.now_s += delay_s
             if response.complete_revision:
                 mirror.apply_delta(response, requested_s)
@@ -137,6 +190,11 @@
                 continue
             store_revision = max(r for t, r in self.history if t < mirror.confirmed_s or r == 1)
             assert mirror.complete_revision >= store_revision
+            held = {change.key: change.revision for change in mirror.values()}
+            for key, change in self.items_at[store_revision].items():
+                # A key that is missing was deleted later.
+                assert held.get(key, change.revision) >= change.revision
+                assert key in held or key not in self.items_at[mirror.complete_revision]
 
 
 _MirrorStateMachine.TestCase.settings = settings(
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -27,12 +27,14 @@
         """
         pass
 
-    def mirror(self, prefix, after_revision, era):
+    def mirror(self, prefix, after_revision, era, held, accepts_packed):
         """
         Parameters:
          - prefix
          - after_revision
          - era
+         - held
+         - accepts_packed
 
         """
         pass
@@ -135,23 +137,27 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "gossip failed: unknown result")
 
-    def mirror(self, prefix, after_revision, era):
+    def mirror(self, prefix, after_revision, era, held, accepts_packed):
         """
         Parameters:
          - prefix
          - after_revision
          - era
+         - held
+         - accepts_packed
 
         """
-        self.send_mirror(prefix, after_revision, era)
+        self.send_mirror(prefix, after_revision, era, held, accepts_packed)
         return self.recv_mirror()
 
-    def send_mirror(self, prefix, after_revision, era):
+    def send_mirror(self, prefix, after_revision, era, held, accepts_packed):
         self._oprot.writeMessageBegin('mirror', TMessageType.CALL, self._seqid)
         args = mirror_args()
         args.prefix = prefix
         args.after_revision = after_revision
         args.era = era
+        args.held = held
+        args.accepts_packed = accepts_packed
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -464,7 +470,7 @@
         iprot.readMessageEnd()
         result = mirror_result()
         try:
-            result.success = self._handler.mirror(args.prefix, args.after_revision, args.era)
+            result.success = self._handler.mirror(args.prefix, args.after_revision, args.era, args.held, args.accepts_packed)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -776,14 +782,18 @@
      - prefix
      - after_revision
      - era
+     - held
+     - accepts_packed
 
     """
 
 
-    def __init__(self, prefix=None, after_revision=None, era=None,):
+    def __init__(self, prefix=None, after_revision=None, era=None, held=None, accepts_packed=None,):
         self.prefix = prefix
         self.after_revision = after_revision
         self.era = era
+        self.held = held
+        self.accepts_packed = accepts_packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -809,6 +819,21 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.held.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.accepts_packed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -831,6 +856,17 @@
             oprot.writeFieldBegin('era', TType.I64, 3)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.held))
+            for iter90 in self.held:
+                oprot.writeI64(iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accepts_packed is not None:
+            oprot.writeFieldBegin('accepts_packed', TType.BOOL, 5)
+            oprot.writeBool(self.accepts_packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -853,6 +889,8 @@
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'after_revision', None, None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.LIST, 'held', (TType.I64, None, False), None, ),  # 4
+    (5, TType.BOOL, 'accepts_packed', None, None, ),  # 5
 )
 
 
@@ -1027,10 +1065,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.success.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1047,8 +1085,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRING, len(self.success))
-            for iter90 in self.success:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter97 in self.success:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -1163,15 +1163,17 @@
      - complete_revision
      - age_ms
      - era
+     - newest_revision
 
     """
 
 
-    def __init__(self, prefix=None, complete_revision=None, age_ms=None, era=0,):
+    def __init__(self, prefix=None, complete_revision=None, age_ms=None, era=0, newest_revision=0,):
         self.prefix = prefix
         self.complete_revision = complete_revision
         self.age_ms = age_ms
         self.era = era
+        self.newest_revision = newest_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1202,6 +1204,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.newest_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1228,6 +1235,10 @@
             oprot.writeFieldBegin('era', TType.I64, 4)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.newest_revision is not None:
+            oprot.writeFieldBegin('newest_revision', TType.I64, 5)
+            oprot.writeI64(self.newest_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1818,15 +1829,17 @@
      - revision
      - deleted
      - value
+     - packed
 
     """
 
 
-    def __init__(self, key=None, revision=None, deleted=None, value=None,):
+    def __init__(self, key=None, revision=None, deleted=None, value=None, packed=False,):
         self.key = key
         self.revision = revision
         self.deleted = deleted
         self.value = value
+        self.packed = packed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1857,6 +1870,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.packed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1883,6 +1901,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 4)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.packed is not None:
+            oprot.writeFieldBegin('packed', TType.BOOL, 5)
+            oprot.writeBool(self.packed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2307,6 +2329,7 @@
     (2, TType.I64, 'complete_revision', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
     (4, TType.I64, 'era', None, 0, ),  # 4
+    (5, TType.I64, 'newest_revision', None, 0, ),  # 5
 )
 all_structs.append(TargetNews)
 TargetNews.thrift_spec = (
@@ -2358,6 +2381,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.BOOL, 'deleted', None, None, ),  # 3
     (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.BOOL, 'packed', None, False, ),  # 5
 )
 all_structs.append(MirrorDelta)
 MirrorDelta.thrift_spec = (
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import struct
+import zlib
 from collections.abc import Iterable
 
 from daisystack.core.crash_hold import EntryCrashCount
@@ -37,6 +39,9 @@
 MAX_AGE_CS = 2**16 - 1
 # Digest of the upstream, age in hundredths of a second and whether the crash is cleared.
 _CRASH = struct.Struct(f">{UPSTREAM_BYTES}sH?")
+# Shorter values gain little; a document of many routes shrinks to a tenth.
+MIN_PACKED_BYTES = 2048
+MAX_VALUE_BYTES = 20 * 1024 * 1024
 
 
 def age_to_ms(age_s: float) -> int:
@@ -177,20 +182,44 @@
     return min(MAX_AGE_MS, int(max(0.0, status.loads_at_s - now_s) * MS_PER_S))
 
 
-def delta_to_wire(delta: Delta) -> ttypes.MirrorDelta:
-    """Return the thrift message of a mirror's delta."""
-    items = [
-        ttypes.MirrorItem(change.key, change.revision, change.value is None, change.value or b"")
-        for change in delta.changes
-    ]
+def delta_to_wire(delta: Delta, accepts_packed: bool = False) -> ttypes.MirrorDelta:
+    """Return the thrift message of a mirror's delta, with long values packed if the peer can."""
+    items = [_change_to_wire(change, accepts_packed) for change in delta.changes]
     age_ms = age_to_ms(delta.age_s)
     return ttypes.MirrorDelta(delta.complete_revision, age_ms, delta.is_full, items, delta.era)
 
 
 def delta_from_wire(wire: ttypes.MirrorDelta) -> Delta:
-    """Return the delta that a thrift message contains."""
+    """Return the delta that a thrift message contains; raise ValueError for a broken value."""
     changes = tuple(
-        Change(item.key, item.revision, None if item.deleted else item.value) for item in wire.items
+        Change(item.key, item.revision, None if item.deleted else _value_from_wire(item))
+        for item in wire.items
     )
     age_s = wire.age_ms / MS_PER_S
     return Delta(changes, wire.complete_revision, age_s, wire.whole, wire.era)
+
+
+def _change_to_wire(change: Change, accepts_packed: bool) -> ttypes.MirrorItem:
+    value = change.value or b""
+    is_packed = accepts_packed and len(value) >= MIN_PACKED_BYTES
+    body = _pack(value) if is_packed else value
+    return ttypes.MirrorItem(change.key, change.revision, change.value is None, body, is_packed)
+
+
+# All peers pull the same document one after another.
+@functools.lru_cache(maxsize=2)
+def _pack(value: bytes) -> bytes:
+    return zlib.compress(value, 1)
+
+
+def _value_from_wire(item: ttypes.MirrorItem) -> bytes:
+    if not item.packed:
+        return item.value
+    unpacker = zlib.decompressobj()
+    try:
+        value = unpacker.decompress(item.value, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"{item.key}: {error}") from error
+    if not unpacker.eof:
+        raise ValueError(f"{item.key}: got a value cut short or over {MAX_VALUE_BYTES} bytes")
+    return value
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -106,6 +106,8 @@
   3: i32 age_ms
   // Revisions are compared only within an era of the store.
   4: i64 era = 0
+  // Newest revision of a known change; it may be above the complete revision. 0: not told.
+  5: i64 newest_revision = 0
 }
 
 struct TargetNews {
@@ -162,6 +164,8 @@
   2: i64 revision
   3: bool deleted
   4: binary value
+  // Whether the value is compressed by zlib.
+  5: bool packed = false
 }
 
 struct MirrorDelta {
@@ -191,7 +195,9 @@
 
 service Peer {
   MeshNews gossip(1: MeshNews mine)
-  MirrorDelta mirror(1: string prefix, 2: i64 after_revision, 3: i64 era)
+  // The caller has the values of the revisions in held, and reads packed values if it says so.
+  MirrorDelta mirror(1: string prefix, 2: i64 after_revision, 3: i64 era, 4: list<i64> held,
+    5: bool accepts_packed)
   // Digests of a version's pieces in order, empty if they stay unknown for wait_ms.
   list<string> digests(1: string model, 2: i64 version, 3: i32 wait_ms)
   Piece piece(1: PieceAsk ask)
