Check the age of published documents when a request arrives

Cause: the age of a mirror was known and only keys were held to a bound. An entry whose copy was older than config_apply_ms decided by it all the same, so that a late copy broke CONFIG instead of costing a refusal.

Ruled out: refusing by age alone. While the store answers nobody no change can be shown to be due, and refusing would end the service with the store; keys have their own bound. Refusing without asking: after a standstill one read of 10 ms makes the copy current.

Change: BeliefGate compares the age at a request's arrival with the bound. An outdated copy (the store answered this process or a peer within the bound) is confirmed at once by the store or peers, at most four times a second for all requests together; a request waits 0.25 s at most and is then refused: 503, not run, Retry-After. If nobody is known to have had an answer, a request waits as long for one and is decided then, at once if the latest read failed. Logs belief_too_old and belief_confirmed, metric daisystack_outdated_refused.

--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -22,6 +22,7 @@
 from daisystack.core.targets import Targets
 from daisystack.core.traffic import CallerLimits
 from daisystack.core.upstream_pauses import UpstreamPauses
+from daisystack.runtime.belief_gate import BeliefGate
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
 from daisystack.runtime.crash_watch import CrashWatch
@@ -76,6 +77,7 @@
     requests: DirectRequests = field(init=False)
     server: CallerServer = field(init=False)
     mirror_tasks: list[MirrorTask] = field(init=False)
+    gate: BeliefGate = field(init=False)
     pieces: PieceTask = field(init=False)
     metrics: MetricsServer = field(init=False)
     _origins: dict[str, WeightOrigin] = field(factory=dict)
@@ -144,6 +146,13 @@
         # The configuration may be long, the list of upstreams is short.
         operator_task.confirmer = upstream_task
         upstream_task.on_snapshot = self._confirm_operator_mirror
+        self.gate = BeliefGate(
+            self.mirror_tasks,
+            self.settings.publication_bound_s,
+            self.mesh.heard_age_s,
+            self.mesh.exchange_news,
+        )
+        self.requests.wait_until_current = self._wait_until_current
 
     @property
     def is_ready(self) -> bool:
@@ -189,6 +198,10 @@
         self.mesh.set_own_state(self.is_ready, self.is_leaving)
         self.mesh.exchange_news()
 
+    def _wait_until_current(self, arrived_s: float) -> bool:
+        # Without any state a request is refused for that reason.
+        return not self.has_required_state or self.gate.wait_until_current(arrived_s)
+
     def _confirm_operator_mirror(self, snapshot: Snapshot) -> None:
         """Confirm the configuration by a read of another prefix at a revision that it has."""
         mirror = self.mirrors[self.operator_prefix]
@@ -327,6 +340,7 @@
                 "Parts of prompts that are held",
                 len(self.requests.crashes.suspects.held_parts),
             ),
+            ("daisystack_outdated_refused", "Requests refused on old copies", self.gate.refused),
             ("daisystack_mesh_exchanges", "Exchanges of news", self.mesh.exchanges),
             ("daisystack_piece_bytes", "Memory of pieces held", self.pieces.cache.held_bytes),
             ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -118,6 +118,8 @@
     count_entries: Callable[[], int]
     crashes: CrashWatch = field(factory=CrashWatch)
     stop_times: Callable[[], StopTimes | None] = lambda: None
+    # Returns whether the published documents are recent enough for a request that arrived then.
+    wait_until_current: Callable[[float], bool] = lambda arrived_s: True
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
@@ -150,6 +152,8 @@
     def _process(
         self, inbound: InboundRequest, responder: Responder, summary: RequestSummary
     ) -> None:
+        if not self.wait_until_current(inbound.arrived_s):
+            raise _LocalAnswer(503, "configuration is too old", RETRY_AFTER_UNAVAILABLE_S)
         policy = self._current_policy()
         request = self._read_request(inbound, summary)
         route = policy.find_route(request.host, request.path)
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "AttemptEnded",
+    "BeliefConfirmed",
+    "BeliefTooOld",
     "CallerRefused",
     "ChunkRejected",
     "CopySlow",
@@ -167,6 +169,23 @@
     held_count: int
 
 
+@frozen(eq=False, repr=False)
+class BeliefTooOld:
+    """A copy of published documents is too old for a request; heard_age_s is the peers' age."""
+
+    prefix: str
+    state: str
+    belief_age_s: float
+    heard_age_s: float
+
+
+@frozen(eq=False, repr=False)
+class BeliefConfirmed:
+    """All copies of published documents are recent enough again."""
+
+    belief_age_s: float
+
+
 @frozen(eq=False, repr=False)
 class CopySlow:
     """A copy of published documents took long to arrive from the store or a peer."""
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -83,6 +83,7 @@
     _rounds: int = 0
     _pushed_s: float = float("-inf")
     _is_push_due: bool = False
+    _heard_confirmed_s: dict[str, float] = field(factory=dict)
     # When the latest pull of each mirror from a peer began, by prefix, while it runs.
     _pull_started_s: dict[str, float] = field(factory=dict)
 
@@ -109,6 +110,10 @@
             self._is_push_due = True
             eventlet.spawn_after(wait_s, self._push)
 
+    def heard_age_s(self, mirror: Mirror, at_s: float) -> float:
+        """Return how long ago the store confirmed a mirror of any peer, as far as was heard."""
+        return at_s - self._heard_confirmed_s.get(mirror.prefix, float("-inf"))
+
     def live_entries(self, at_s: float) -> list[Member]:
         """Return the other entries that are neither suspected nor unreachable."""
         self._compensate_pause(at_s)
@@ -240,6 +245,8 @@
                 self._start_pull(mirror, news.sender.peer_address)
             if requested_s is not None and state.age_ms >= 0:
                 age_s = state.age_ms / MS_PER_S
+                heard_s = self._heard_confirmed_s.get(state.prefix, float("-inf"))
+                self._heard_confirmed_s[state.prefix] = max(heard_s, requested_s - age_s)
                 mirror.apply_confirmation(state.complete_revision, age_s, requested_s, state.era)
 
     def _start_pull(self, mirror: Mirror, address: str) -> None:
--- a/daisystack/testing/fleet.py
+++ b/daisystack/testing/fleet.py
@@ -140,6 +140,8 @@
     revision: int = 1
     calls: int = 0
     is_down: bool = False
+    # How long a call lasts that gets no answer.
+    silence_s: float = 0.01
     # Watches hear nothing before this time, as while the history is dropped.
     deaf_until_s: float = 0.0
 
@@ -181,7 +183,7 @@
     def _begin_call(self) -> None:
         self.store.calls += 1
         if self.store.is_down or self.machine.is_cut_off or self.machine.is_turned_away:
-            eventlet.sleep(0.01)
+            eventlet.sleep(self.store.silence_s)
             raise BackendError("the store is down")
 
     def _under(self, prefix: str, after_revision: int) -> tuple[Change, ...]:
--- a/daisystack/tests/test_config_in_force.py
+++ b/daisystack/tests/test_config_in_force.py
@@ -44,7 +44,7 @@
         fleet.publish(13, SMALL)
         eventlet.sleep(0.4)
         fleet.publish(17, BIG)
-        eventlet.sleep(4.5)
+        eventlet.sleep(fleet.bound_s + 0.3)
 
     def test_a_big_document_after_a_small_one_is_in_force_everywhere_in_time(self):
         """Guards against entries that took a big document over narrow links after the bound."""
@@ -62,7 +62,7 @@
             for version in range(20, 45):
                 fleet.publish(version, BIG)
                 eventlet.sleep(0.06)
-            eventlet.sleep(4.5)
+            eventlet.sleep(fleet.bound_s + 0.3)
 
         self.assert_in_time(action)
 
@@ -92,7 +92,7 @@
             for step_s in (-2.06, 5.0):
                 fleet.step_time_of_day(step_s)
                 fleet.publish(int(20 + step_s), SMALL)
-                eventlet.sleep(4.5)
+                eventlet.sleep(fleet.bound_s + 0.3)
 
         self.assert_in_time(action)
 
