Add a soak of the real programs under random faults

Nothing of ours ran the programs as separate processes under faults that come in series and overlap, and judged them by what callers and upstreams see. Change: tools/soak draws faults from a seed (kills, pauses, stops, SIGHUP, leaving upstreams, links that delay, reset, cut one way or fall silent, a paused store, drills, configurations with revoked keys, versions in quick succession), then planned work alone, and checks twelve promises. The stand-in's store has leases, which a restored copy lacks.

--- a/daisystack/tests/on_platform/site.py
+++ b/daisystack/tests/on_platform/site.py
@@ -57,7 +57,11 @@
     offline: frozenset[str] = frozenset()
     # Last number of the first program's loopback address.
     first_host: int = FIRST_HOST
+    # Loopback addresses of entries and agents begin with this.
+    host_prefix: str = "127.0.0."
     base_port: int = field(factory=lambda: _find_free_ports(PORT_COUNT))
+    # Script that runs an entry or an agent.
+    program: str = "platform/serve.py"
     processes: Processes = field(init=False)
     _http: urllib3.PoolManager = field(factory=lambda: urllib3.PoolManager(retries=False))
     _request_count: int = 0
@@ -189,7 +193,7 @@
         return Answer(response.status, response.data, dict(response.headers))
 
     def _host(self, index: int) -> str:
-        return f"127.0.0.{self.first_host + index}"
+        return f"{self.host_prefix}{self.first_host + index}"
 
     def _region(self, name: str) -> str:
         return self.regions.get(name, "r1")
@@ -201,12 +205,16 @@
         with socket.socket() as probe:
             return probe.connect_ex((HOST, port)) == 0
 
+    def extra_settings(self, name: str) -> dict[str, str]:
+        """Return settings of a program that replace or complete those of every site."""
+        return {}
+
     def _start_program(self, name: str, role: str, host: str) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         path = self.folder / f"{name}.conf"
         path.write_text(self._settings(name, host))
         os.environ["DAISYSTACK_SETTINGS"] = str(path)
-        self.processes.start(name, "platform/serve.py", role)
+        self.processes.start(name, self.program, role)
 
     def _settings(self, name: str, host: str) -> str:
         index = int(name.rpartition("-")[2])
@@ -231,7 +239,7 @@
             "bounds.version_ms": "8000",
             "bounds.revoke_ms": "5000",
             "bounds.budget_slack": "100",
-        }
+        } | self.extra_settings(name)
         return "".join(f"{key}={value}\n" for key, value in settings.items())
 
 
--- a/daisystack/tests/on_platform/standin.py
+++ b/daisystack/tests/on_platform/standin.py
@@ -7,6 +7,7 @@
 import json
 import os
 import sys
+import time
 
 import eventlet
 from attrs import define, field
@@ -35,6 +36,7 @@
 EVENT_COUNT = 5
 EVENT_PAUSE_S = 0.02
 WATCH_POLL_S = 0.02
+RESTORED_LEASE_S = 2.0
 MAX_BODY_BYTES = 1_000_000
 # Port offsets from the base port: store, origin, plain runner, then the model runners.
 STORE, ORIGIN, PLAIN, FIRST_MODEL = 0, 1, 2, 3
@@ -56,6 +58,9 @@
     era: int = 1
     # Revision and items that a drill comes back to.
     copy: tuple[int, dict[str, tuple[int, bytes]]] = (1, {})
+    # When keys with a lease are deleted unless they are published again.
+    lease_ends_s: dict[str, float] = field(factory=dict)
+    leased: set[str] = field(factory=set)
 
     def put(self, key: str, value: object) -> None:
         """Publish a value."""
@@ -74,11 +79,31 @@
             Route("GET", "/daisystack/kv-range", self._range),
             Route("GET", "/daisystack/kv-watch", self._watch),
             Route("PUT", "/publish/", self._publish),
+            Route("DELETE", "/publish/", self._withdraw),
             Route("PUT", "/drill/", self._drill),
         ]
 
+    def delete_expired(self, now_s: float) -> None:
+        """Delete the keys whose lease has ended."""
+        for key, ends_s in list(self.lease_ends_s.items()):
+            if now_s >= ends_s:
+                del self.lease_ends_s[key]
+                self.delete(key)
+
     def _publish(self, request: Request, key: str) -> Response:
-        self.put(key, json.loads(read_body(request, MAX_BODY_BYTES)))
+        value = json.loads(read_body(request, MAX_BODY_BYTES))
+        lease_ms = int(request.query("lease_ms", "0"))
+        if lease_ms:
+            self.leased.add(key)
+            self.lease_ends_s[key] = time.monotonic() + lease_ms / 1000
+        # A repeated value only renews the lease.
+        if not lease_ms or self.items.get(key, (0, b""))[1] != json.dumps(value).encode():
+            self.put(key, value)
+        return json_response(200, {"revision": self.revision})
+
+    def _withdraw(self, request: Request, key: str) -> Response:
+        self.lease_ends_s.pop(key, None)
+        self.delete(key)
         return json_response(200, {"revision": self.revision})
 
     def _drill(self, request: Request, step: str) -> Response:
@@ -89,6 +114,9 @@
             self.revision, self.items = self.copy[0], dict(self.copy[1])
             self.deleted = {}
             self.era += 1
+            # Publishers that still live renew their leases, which the copy does not hold.
+            lease_ends_s = time.monotonic() + RESTORED_LEASE_S
+            self.lease_ends_s = {k: lease_ends_s for k in self.items if k in self.leased}
         return json_response(200, {"era": self.era})
 
     def _answer(self, body: dict) -> Response:
@@ -318,8 +346,24 @@
     serve_http(Address(HOST, port), PlainRunner(name).routes())
 
 
+def start_store(port: int, host: str) -> None:
+    """Serve only the store and the origin, on this port and the next."""
+    store = Store()
+    serve_http(Address(host, port + STORE), store.routes())
+    serve_http(Address(host, port + ORIGIN), [Route("GET", "/daisystack/", serve_origin)])
+    eventlet.spawn(_expire_forever, store)
+
+
+def _expire_forever(store: Store) -> None:
+    while True:
+        eventlet.sleep(WATCH_POLL_S)
+        store.delete_expired(time.monotonic())
+
+
 if __name__ == "__main__":
-    if len(sys.argv) > 2:
+    if len(sys.argv) > 3:
+        start_store(int(sys.argv[1]), sys.argv[3])
+    elif len(sys.argv) > 2:
         start_runner(int(sys.argv[1]), sys.argv[2])
     else:
         PlatformStandin(int(sys.argv[1])).start()
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run the real programs under random faults and check what callers and upstreams see."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,115 @@
+"""Run one soak: print its seed, play its faults, check the promises and keep a failed run's logs.
+
+Exits with 1 if a promise was broken, and with 2 if the site did not start.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import sys
+import tempfile
+import time
+import warnings
+from pathlib import Path
+from typing import Annotated
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import typer
+
+from daisystack.tests.on_platform.soak_site import SoakSite
+from tools.soak.callers import Callers
+from tools.soak.checks import RECOVERY_S, Evidence, find_breaches
+from tools.soak.faults import Injector
+from tools.soak.plan import Fault, draw_faults
+from tools.soak.records import History, read_upstream_events
+
+WARM_UP_S = 1.0
+MEASURED_S = 3.0
+# Requests that callers had left may still begin for this long.
+SETTLE_S = 1.0
+MAX_PRINTED_BREACHES = 40
+
+
+def play(site: SoakSite, seed: int, seconds: float, callers: int) -> tuple[History, Injector]:
+    """Play the faults of a seed and then planned work alone, and return what happened."""
+    history = History()
+    injector = Injector(site, history, seed)
+    injector.record_start()
+    load = Callers(site, history, seed, callers)
+    load.start()
+    time.sleep(WARM_UP_S)
+    injector.play(draw_faults(seed, seconds, site.entries, site.upstream_names(), site.models))
+    history.calm_from_s = time.monotonic()
+    time.sleep(RECOVERY_S)
+    print(f"  {time.monotonic():.2f} planned work only", flush=True)
+    injector.play(draw_planned_work(seed, site))
+    ends_s = history.calm_from_s + RECOVERY_S + MEASURED_S
+    time.sleep(max(0.0, ends_s - time.monotonic()))
+    load.stop()
+    time.sleep(SETTLE_S)
+    return history, injector
+
+
+def draw_planned_work(seed: int, site: SoakSite) -> list[Fault]:
+    """Return a stop of an entry beside a leaving upstream, configurations and versions."""
+    names = site.upstream_names()
+    return [
+        Fault(0.0, "terminate", f"entry-{seed % site.entries}", 0.0),
+        Fault(0.3, "leave", names[seed % len(names)], 0.5),
+        Fault(0.5, "configs", "operator", 0.0),
+    ]
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of faults and requests.")],
+    seconds: Annotated[float, typer.Option(help="Time with faults, without calm times.")] = 10.0,
+    entries: Annotated[int, typer.Option(help="Number of entries.")] = 3,
+    engines: Annotated[int, typer.Option(help="Number of engines with their agents.")] = 3,
+    callers: Annotated[int, typer.Option(help="Number of callers.")] = 16,
+    logs: Annotated[Path, typer.Option(help="Directory for logs of a failed run.")] = Path(
+        "build/soak"
+    ),
+    program: Annotated[str, typer.Option(help="Script that runs an entry or an agent.")] = (
+        "platform/serve.py"
+    ),
+) -> None:
+    """Run the programs under the faults of a seed and check the promises."""
+    print(f"seed {seed}", flush=True)
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    site = SoakSite(folder, entries=entries, models=engines, program=program)
+    try:
+        site.start()
+        history, injector = play(site, seed, seconds, callers)
+    except TimeoutError as error:
+        print(f"the site did not start: {error}; logs in {folder}", flush=True)
+        raise SystemExit(2) from error
+    finally:
+        site.stop()
+    evidence = Evidence(history, read_upstream_events(site.record_path), site.bounds)
+    breaches = find_breaches(evidence)
+    for breach in breaches[:MAX_PRINTED_BREACHES]:
+        print(f"BROKEN {breach}", flush=True)
+    if breaches:
+        target = logs / f"seed-{seed}"
+        shutil.rmtree(target, ignore_errors=True)
+        shutil.copytree(folder, target)
+        print(f"logs kept in {target}", flush=True)
+    shutil.rmtree(folder)
+    served = sum(record.is_served for record in history.requests)
+    print(
+        f"seed {seed}: {sum(injector.counts.values())} faults, {len(history.requests)} requests, "
+        f"{served} served, {len(breaches)} broken",
+        flush=True,
+    )
+    sys.exit(1 if breaches else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
