Judge the recovery in the soak by keys that every configuration in force has

The entries' logs show 401 for keys of a configuration acknowledged less than its bound before; the check took them for valid. Change: the check uses the same rule as that of the configuration in force. A failed run keeps its requests beside the logs. Faults are drawn at 2 a second, and plain upstreams take 80 ms.

--- a/daisystack/tests/on_platform/soak_site.py
+++ b/daisystack/tests/on_platform/soak_site.py
@@ -200,7 +200,7 @@
             record=str(self.record_path),
             has_engine=is_engine,
             version=version if is_engine else 0,
-            pause_s=0.02 if is_engine else 0.04,
+            pause_s=0.02 if is_engine else 0.08,
         )
         self.processes.start(name, "-m", UPSTREAM_MODULE, json.dumps(asdict(options)))
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -28,7 +28,7 @@
 from tools.soak.checks import RECOVERY_S, Evidence, find_breaches
 from tools.soak.faults import Injector
 from tools.soak.plan import Fault, draw_faults
-from tools.soak.records import History, read_upstream_events
+from tools.soak.records import History, read_upstream_events, write_requests
 
 WARM_UP_S = 1.0
 MEASURED_S = 3.0
@@ -97,6 +97,7 @@
     for breach in breaches[:MAX_PRINTED_BREACHES]:
         print(f"BROKEN {breach}", flush=True)
     if breaches:
+        write_requests(history, folder / "requests.jsonl")
         target = logs / f"seed-{seed}"
         shutil.rmtree(target, ignore_errors=True)
         shutil.copytree(folder, target)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -165,15 +165,10 @@
     breaches = []
     bound_s = evidence.bounds.config_s
     for record in evidence.history.requests:
-        acknowledged = [
-            p.version
-            for p in evidence.history.configs
-            if p.at_s + bound_s + SLACK_S < record.sent_s
-        ]
-        in_force = max(acknowledged, default=0)
+        in_force = _config_in_force(evidence, record)
         newest = _newest_config(record)
         is_late = newest is not None and newest < in_force
-        is_denied = record.status == REFUSED_KEY and _is_key_valid(evidence, record, in_force)
+        is_denied = record.status == REFUSED_KEY and _is_key_valid(evidence, record)
         start_s = record.sent_s - bound_s
         if (is_late or is_denied) and evidence.is_in_touch(record.entry, start_s, record.ended_s):
             breaches.append(
@@ -183,8 +178,16 @@
     return breaches
 
 
-def _is_key_valid(evidence: Evidence, record: RequestRecord, in_force: int) -> bool:
+def _config_in_force(evidence: Evidence, record: RequestRecord) -> int:
+    """Return the configuration that must be in force at an entry in touch, 0 for none."""
+    before_s = record.sent_s - evidence.bounds.config_s - SLACK_S
+    published = [p.version for p in evidence.history.configs if p.at_s < before_s]
+    return max(published, default=0)
+
+
+def _is_key_valid(evidence: Evidence, record: RequestRecord) -> bool:
     """Return whether every configuration that may be in force has the request's key."""
+    in_force = _config_in_force(evidence, record)
     sent = [p.version for p in evidence.history.configs if p.sent_s <= record.ended_s]
     return record.shape.key <= in_force and max(sent) < record.shape.key + KEPT_KEYS
 
@@ -323,7 +326,7 @@
     for record in evidence.history.requests:
         if record.sent_s < evidence.history.calm_from_s + RECOVERY_S:
             continue
-        if record.shape.key and not _has_valid_key(evidence, record):
+        if record.shape.key and not _is_key_valid(evidence, record):
             continue
         sent[record.shape.kind] += 1
         served[record.shape.kind] += record.is_served
@@ -334,11 +337,6 @@
     ]
 
 
-def _has_valid_key(evidence: Evidence, record: RequestRecord) -> bool:
-    newest = max(p.version for p in evidence.history.configs)
-    return newest - KEPT_KEYS < record.shape.key <= newest
-
-
 CHECKS: dict[str, Callable[[Evidence], list[str]]] = {
     "whole answers": check_whole_answers,
     "at most once": check_at_most_once,
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -9,7 +9,7 @@
 
 __all__ = ["Fault", "draw_faults"]
 
-FAULTS_PER_S = 1.5
+FAULTS_PER_S = 2.0
 DURATION_S = (0.2, 3.0)
 # Faults of one kind and target that follow each other.
 SERIES = (1, 1, 1, 2, 3)
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from attrs import define, field, frozen
+from attrs import asdict, define, field, frozen
 
 from daisystack.tests.on_platform.soak_site import RequestShape
 
@@ -18,6 +18,7 @@
     "RequestRecord",
     "UpstreamEvent",
     "read_upstream_events",
+    "write_requests",
 ]
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -134,6 +135,15 @@
         )
 
 
+def write_requests(history: History, path: Path) -> None:
+    """Write one line for each request and each disturbance."""
+    records = [*history.disturbances, *history.lives, *history.configs, *history.weights]
+    records += sorted(history.requests, key=lambda record: record.sent_s)
+    with path.open("w") as stream:
+        for record in records:
+            stream.write(json.dumps({"record": type(record).__name__} | asdict(record)) + "\n")
+
+
 def read_upstream_events(path: Path) -> list[UpstreamEvent]:
     """Return the events of the upstreams' record; the last line of a killed one may be partial."""
     events = []
