Give the soak's upstreams two slots so that requests queue, and end its programs on SIGTERM

A soak that was ended by SIGTERM would have left its programs running. Change: two slots each; SIGTERM ends the soak through its cleanup, with status 3.

--- a/daisystack/tests/on_platform/upstream.py
+++ b/daisystack/tests/on_platform/upstream.py
@@ -63,7 +63,7 @@
     published: str
     store: str
     record: str
-    slots: int = 8
+    slots: int = 2
     queue: int = 8
     has_engine: bool = False
     version: int = 0
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,12 +1,13 @@
 """Run one soak: print its seed, play its faults, check the promises and keep a failed run's logs.
 
-Exits with 1 if a promise was broken, and with 2 if the site did not start.
+Exits with 1 if a promise was broken, with 2 if the site did not start, with 3 on SIGTERM.
 """
 
 from __future__ import annotations
 
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -34,6 +35,7 @@
 MEASURED_S = 3.0
 # Requests that callers had left may still begin for this long.
 SETTLE_S = 1.0
+STOPPED_STATUS = 3
 MAX_PRINTED_BREACHES = 40
 
 
@@ -82,6 +84,8 @@
 ) -> None:
     """Run the programs under the faults of a seed and check the promises."""
     print(f"seed {seed}", flush=True)
+    # Ends the programs of the site as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(STOPPED_STATUS))
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     site = SoakSite(folder, entries=entries, models=engines, program=program)
     try:
