--- a/tools/relay.py
+++ b/tools/relay.py
@@ -65,9 +65,13 @@
         open_connections = list(self._connections)
         for connection in open_connections:
             connection.is_reset = True
-            for sock in (connection.caller, connection.target):
+            sockets = (connection.caller, connection.target)
+            # Both before a reader wakes, since it closes both.
+            for sock in sockets:
                 with contextlib.suppress(OSError):
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            for sock in sockets:
+                with contextlib.suppress(OSError):
                     # Wakes the reader of this socket and sends nothing.
                     sock.shutdown(socket.SHUT_RD)
         return len(open_connections)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -29,12 +29,14 @@
 from tools.soak.checks import RECOVERY_S, Evidence, find_breaches
 from tools.soak.faults import Injector
 from tools.soak.plan import Fault, draw_faults
-from tools.soak.records import History, read_upstream_events, write_requests
+from tools.soak.records import MACHINE, Disturbance, History, read_upstream_events, write_requests
 
 WARM_UP_S = 1.0
 MEASURED_S = 3.0
 # Requests that callers had left may still begin for this long.
 SETTLE_S = 1.0
+WATCH_INTERVAL_S = 0.05
+MIN_STALL_S = 0.4
 STOPPED_STATUS = 3
 MAX_PRINTED_BREACHES = 40
 
@@ -44,21 +46,32 @@
     history = History()
     injector = Injector(site, history, seed)
     injector.record_start()
+    watch = eventlet.spawn(watch_machine, history)
     load = Callers(site, history, seed, callers)
     load.start()
     time.sleep(WARM_UP_S)
     injector.play(draw_faults(seed, seconds, site.entries, site.upstream_names(), site.models))
     history.calm_from_s = time.monotonic()
-    time.sleep(RECOVERY_S)
-    print(f"  {time.monotonic():.2f} planned work only", flush=True)
+    time.sleep(RECOVERY_S + MEASURED_S)
+    history.planned_from_s = time.monotonic()
+    print(f"  {history.planned_from_s:.2f} planned work only", flush=True)
     injector.play(draw_planned_work(seed, site))
-    ends_s = history.calm_from_s + RECOVERY_S + MEASURED_S
-    time.sleep(max(0.0, ends_s - time.monotonic()))
     load.stop()
     time.sleep(SETTLE_S)
+    watch.kill()
     return history, injector
 
 
+def watch_machine(history: History) -> None:
+    """Record each time at which this process, and likely the others, got no processor time."""
+    while True:
+        expected_s = time.monotonic() + WATCH_INTERVAL_S
+        time.sleep(WATCH_INTERVAL_S)
+        now_s = time.monotonic()
+        if now_s - expected_s > MIN_STALL_S:
+            history.disturbances.append(Disturbance(MACHINE, "stall", expected_s, now_s))
+
+
 def draw_planned_work(seed: int, site: SoakSite) -> list[Fault]:
     """Return a stop of an entry beside a leaving upstream, configurations and versions."""
     names = site.upstream_names()
@@ -78,6 +91,7 @@
     logs: Annotated[Path, typer.Option(help="Directory for logs of a failed run.")] = Path(
         "build/soak"
     ),
+    keep: Annotated[bool, typer.Option(help="Keep the logs of a sound run, too.")] = False,
     program: Annotated[str, typer.Option(help="Script that runs an entry or an agent.")] = (
         "platform/serve.py"
     ),
@@ -100,13 +114,16 @@
     breaches = find_breaches(evidence)
     for breach in breaches[:MAX_PRINTED_BREACHES]:
         print(f"BROKEN {breach}", flush=True)
-    if breaches:
+    if breaches or keep:
         write_requests(history, folder / "requests.jsonl")
         target = logs / f"seed-{seed}"
         shutil.rmtree(target, ignore_errors=True)
         shutil.copytree(folder, target)
         print(f"logs kept in {target}", flush=True)
     shutil.rmtree(folder)
+    stalls_s = history.stalls_s()
+    if stalls_s:
+        print(f"machine stalled {len(stalls_s)} times, up to {max(stalls_s):.2f} s", flush=True)
     served = sum(record.is_served for record in history.requests)
     print(
         f"seed {seed}: {sum(injector.counts.values())} faults, {len(history.requests)} requests, "
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from daisystack.tests.on_platform.soak_site import KEPT_KEYS, Bounds
-from tools.soak.records import History, Publication, RequestRecord, UpstreamEvent
+from tools.soak.records import MACHINE, History, Publication, RequestRecord, UpstreamEvent
 
 __all__ = ["Evidence", "find_breaches"]
 
@@ -253,7 +253,7 @@
 def _is_sound(evidence: Evidence, record: RequestRecord) -> bool:
     """Return whether nothing but the stop of its entry disturbed a request."""
     prefix = "engine-" if record.shape.is_stream else "plain-"
-    targets = ("store", "callers:", "upstream:", prefix)
+    targets = ("store", "store:", "callers:", "upstream:", prefix)
     start_s = record.sent_s - STABLE_S
     others = [
         d
@@ -323,8 +323,12 @@
 def check_recovery(evidence: Evidence) -> list[str]:
     """Some seconds after the last fault, most requests of each kind are served again."""
     sent, served = Counter(), Counter()
-    for record in evidence.history.requests:
-        if record.sent_s < evidence.history.calm_from_s + RECOVERY_S:
+    history = evidence.history
+    start_s = history.calm_from_s + RECOVERY_S
+    if not history.is_calm((MACHINE,), history.calm_from_s, history.planned_from_s):
+        return []
+    for record in history.requests:
+        if not start_s <= record.sent_s < history.planned_from_s:
             continue
         if record.shape.key and not _is_key_valid(evidence, record):
             continue
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -11,6 +11,7 @@
 from daisystack.tests.on_platform.soak_site import RequestShape
 
 __all__ = [
+    "MACHINE",
     "Disturbance",
     "History",
     "Life",
@@ -21,6 +22,8 @@
     "write_requests",
 ]
 
+# Target of disturbances that hit the soak itself and with it all programs.
+MACHINE = "machine"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -111,7 +114,8 @@
     weights: list[Publication] = field(factory=list)
     lives: list[Life] = field(factory=list)
     calm_from_s: float = float("inf")
-    ended_s: float = float("inf")
+    # When planned work begins; until then recovery is measured.
+    planned_from_s: float = float("inf")
 
     def begin(self, target: str, kind: str) -> Disturbance:
         """Record that a disturbance begins now."""
@@ -127,13 +131,23 @@
         """Return a life of an entry."""
         return next(x for x in self.lives if (x.entry, x.number) == (entry, number))
 
-    def is_calm(self, prefixes: tuple[str, ...], start_s: float, end_s: float) -> bool:
-        """Return whether no target with one of the prefixes was disturbed within a time."""
+    def is_calm(self, targets: tuple[str, ...], start_s: float, end_s: float) -> bool:
+        """Return whether no target was disturbed within a time, nor the whole machine.
+
+        A target that ends with a colon or a dash stands for all that begin with it.
+        """
+        prefixes = tuple(target for target in targets if target[-1] in ":-")
         return not any(
-            d.target.startswith(prefixes) and d.start_s <= end_s and d.end_s >= start_s
+            (d.target in (*targets, MACHINE) or d.target.startswith(prefixes or "\n"))
+            and d.start_s <= end_s
+            and d.end_s >= start_s
             for d in self.disturbances
         )
 
+    def stalls_s(self) -> list[float]:
+        """Return how long the machine gave this process no time, for each such stall."""
+        return [d.end_s - d.start_s for d in self.disturbances if d.target == MACHINE]
+
 
 def write_requests(history: History, path: Path) -> None:
     """Write one line for each request and each disturbance."""
