Let an agent that stops answer what is on its way to it

Cause: run_agent lingered for 0 s, so an agent with nothing in flight exited in the moment of the signal. Requests that entries had sent before they heard of it got no answer: 502, may have run. Change: an agent lingers for two heartbeats, in which it refuses what arrives (not run). Before: TestStopBeforeArrival red twice.

--- a/daisystack/runtime/agent.py
+++ b/daisystack/runtime/agent.py
@@ -22,6 +22,7 @@
 from daisystack.runtime.daemon import Daemon, PeerHandler
 from daisystack.runtime.engine_task import EngineTask
 from daisystack.runtime.forwarder import Forwarder
+from daisystack.runtime.heartbeat_task import HEARTBEAT_INTERVAL_S
 from daisystack.runtime.transfer_task import TransferTask
 from daisystack.runtime.upstream_http import UpstreamClient
 from daisystack.runtime.web import Request, Response, Route
@@ -29,6 +30,9 @@
 
 __all__ = ["Agent", "run_agent"]
 
+# Entries learn from a heartbeat that this agent leaves. What they sent before is refused, not lost.
+STOP_LINGER_S = 2 * HEARTBEAT_INTERVAL_S
+
 
 @define(eq=False)
 class Agent:
@@ -190,4 +194,4 @@
     """Run an agent until it receives a stop signal and its requests have ended."""
     agent = Agent(settings)
     agent.start()
-    agent.daemon.run_until_stopped(lambda: agent.forwarder.in_flight, 0.0)
+    agent.daemon.run_until_stopped(lambda: agent.forwarder.in_flight, STOP_LINGER_S)
--- a/daisystack/runtime/heartbeat_task.py
+++ b/daisystack/runtime/heartbeat_task.py
@@ -19,7 +19,7 @@
 from daisystack.runtime.tasks import run_logged, run_steps
 from daisystack.wire.convert import status_from_wire, status_to_wire
 
-__all__ = ["HeartbeatTask"]
+__all__ = ["HEARTBEAT_INTERVAL_S", "HeartbeatTask"]
 
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 1.5
--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -176,6 +176,24 @@
         self.wait(lambda: self.site.count_serving("a") == 3)
 
 
+class TestStopBeforeArrival(SiteCase):
+    seed = 7
+    options = {"agent_flags": ("--capacity=100",)}
+
+    def test_requests_on_the_way_to_an_agent_that_stops_are_not_lost(self):
+        """An agent with nothing in flight exited at once, and requests sent to it got no answer."""
+        http, addresses = self.site.http, self.addresses
+        started = [
+            eventlet.spawn(send_stream, http, addresses[i % 2], 30, token_s=0.02)
+            for i in range(120)
+        ]
+        # The signal is sent before the first of the streams, and the entries learn of it later.
+        self.site.processes.terminate("m1")
+        answers = [thread.wait() for thread in started]
+        self.assertEqual([a for a in answers if a.verdict == "may_have_run"], [])
+        self.assertEqual(self.site.processes.by_name["m1"].wait(TIMEOUT_S), 0)
+
+
 class TestOnce(SiteCase):
     seed = 3
 
