Retry what a leaving agent refuses without the retry budget

Cause: the sightings of TestStops' graceful stop with streams answered 503, not run, beside load. A loaded agent has many requests that wait to be read; when it is told to stop it refuses them all, and each retry elsewhere took one of the entry's ten from the retry budget. The rest got 503 at once. The signature is that of the sightings: verdict=not_run end=refused_at_gate attempts=1. Reproduced: m1 paused for 0.7 s while 240 streams start, then told to stop: 70 of 240 answered 503 not run. Change: an agent says with the refusal that it leaves (header Daisystack-Leaving, ignored by older entries); the entry leaves it out until its next heartbeat, and the retry needs no budget if nothing ran. Attempts stay bounded, and each upstream leaves once. Before: TestStopOfABusyAgent red. After: green twice; test_admission, test_agent_verdicts, test_entry_verdicts, test_at_most_once, test_layout: 45 passed.

--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -34,6 +34,8 @@
     reported: Verdict | None = None
     reason: str = ""
     crashed: bool = False
+    # The upstream refused the request because it leaves.
+    is_leaving: bool = False
 
     @property
     def verdict(self) -> Verdict:
@@ -135,9 +137,12 @@
             # Nothing reached an upstream, so the next attempt is no retry.
             return RetryElsewhere()
         retry = self._allowed_retry(outcome)
-        if retry is None or self._sent_count() >= self.max_attempts or not budget.try_consume():
+        if retry is None or self._sent_count() >= self.max_attempts:
             return self.give_up(outcome)
-        return retry
+        # A planned stop must not refuse requests. Each upstream leaves once, so that such retries
+        # need no budget.
+        is_free = outcome.is_leaving and outcome.verdict is Verdict.NOT_RUN
+        return retry if is_free or budget.try_consume() else self.give_up(outcome)
 
     def give_up(self, outcome: AttemptOutcome) -> GiveUp:
         """Return the final answer, which suggests a retry unless the outcome is final."""
--- a/daisystack/runtime/caller_responses.py
+++ b/daisystack/runtime/caller_responses.py
@@ -49,6 +49,7 @@
             reported=Verdict(answer.header(headers.VERDICT)),
             reason=reason,
             crashed=answer.header(headers.CRASHED) == "yes",
+            is_leaving=answer.header(headers.LEAVING) == "yes",
         )
     except (ValueError, AttributeError):
         reason = "the agent's report does not parse"
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -212,7 +212,10 @@
         instance_id = assignment.instance.id
         end = answer.header(headers.ATTEMPT_END)
         if end is not None:
-            return _AttemptResult(parse_reported_outcome(instance_id, end, answer))
+            outcome = parse_reported_outcome(instance_id, end, answer)
+            if outcome.is_leaving:
+                self.upstreams.mark_unreachable(assignment)
+            return _AttemptResult(outcome)
         if answer.header(headers.TICKET) != str(assignment.ticket):
             answer.abandon()
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another ticket")
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -5,10 +5,10 @@
 import hashlib
 from collections.abc import Iterator
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from daisystack.core.crash_attribution import CrashAttribution
-from daisystack.core.gate import EngineReport
+from daisystack.core.gate import EngineReport, GateReason
 from daisystack.core.idempotency import (
     BeginRefused,
     IdempotencyTable,
@@ -70,7 +70,9 @@
         uptime_s = self.daemon.uptime_s(now_s())
         reason = self._refusal_reason(attempt)
         if reason is not None:
-            return _refusal_response(self.table.refuse(attempt.ticket, reason, uptime_s))
+            is_leaving = self.engine_task.gate.reason is GateReason.LEAVING
+            refused = self.table.refuse(attempt.ticket, reason, uptime_s)
+            return _refusal_response(refused, is_leaving)
         digest = hashlib.sha256(attempt.path.encode() + b"\x00" + attempt.body).hexdigest()
         begin_result = self.table.begin(attempt.ticket, digest, uptime_s)
         if isinstance(begin_result, BeginRefused):
@@ -265,13 +267,16 @@
     return report.incarnation, report.serving, report.fence, report.loading
 
 
-def _refusal_response(refused: BeginRefused) -> Response:
+def _refusal_response(refused: BeginRefused, is_leaving: bool = False) -> Response:
     end = AttemptEnd.OUTCOME_LOST
     if refused.verdict is Verdict.NOT_RUN:
         end = AttemptEnd.REFUSED_AT_GATE
     elif refused.is_running:
         end = AttemptEnd.STILL_RUNNING
-    return _error_response(end, refused.verdict, refused.sealed, refused.reason)
+    response = _error_response(end, refused.verdict, refused.sealed, refused.reason)
+    if is_leaving:
+        return evolve(response, headers=(*response.headers, (headers.LEAVING, "yes")))
+    return response
 
 
 def _replay_response(replay: Replay, ticket: Ticket) -> Response:
--- a/daisystack/runtime/headers.py
+++ b/daisystack/runtime/headers.py
@@ -7,6 +7,7 @@
     "CRASHED",
     "TIME_LEFT",
     "IN_FLIGHT",
+    "LEAVING",
     "MODEL",
     "PREFIX",
     "REPEATABLE",
@@ -42,6 +43,7 @@
 IN_FLIGHT = "Daisystack-In-Flight"
 SUSPECT = "Daisystack-Suspect"
 CRASHED = "Daisystack-Crashed"
+LEAVING = "Daisystack-Leaving"
 
 # Sent by model engines.
 SERVING = "Engine-Serving"
--- a/daisystack/tests/test_admission.py
+++ b/daisystack/tests/test_admission.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+import attrs
 import eventlet
 
 from daisystack.core.admission import (
@@ -10,6 +11,7 @@
     WorkspaceLimits,
 )
 from daisystack.core.peers import PeerTable
+from daisystack.core.requests import AttemptOutcome, GiveUp, RequestState, RetryElsewhere
 from daisystack.core.retries import RetryBudget
 from daisystack.core.routing import (
     InFlightCounts,
@@ -18,7 +20,7 @@
     list_candidates,
 )
 from daisystack.core.upstream_latency import UpstreamLatency
-from daisystack.core.verdicts import AttemptEnd
+from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.waiting_queues import NotAdmitted, WaitingQueues
 from daisystack.testing import build_document, build_status
 
@@ -225,3 +227,20 @@
             consumed += budget.try_consume()
         self.assertLessEqual(consumed, 100)
         self.assertGreater(consumed, 90)
+
+    def test_a_refusal_by_a_leaving_upstream_needs_no_retry_budget(self):
+        """Many requests refused at a planned stop used up the budget, and the rest got 503."""
+        refused = AttemptOutcome(
+            AttemptEnd.REFUSED_AT_GATE, "m1", sealed=True, reported=Verdict.NOT_RUN
+        )
+        leaving = attrs.evolve(refused, is_leaving=True)
+        may_have_run = attrs.evolve(leaving, reported=Verdict.MAY_HAVE_RUN)
+        for outcome, step in (
+            (refused, GiveUp),
+            (leaving, RetryElsewhere),
+            (may_have_run, GiveUp),
+        ):
+            budget = RetryBudget(balance=0.0)
+            with self.subTest(outcome=outcome):
+                state = RequestState(repeatable=True, deadline_s=10.0)
+                self.assertIsInstance(state.next_step(outcome, budget, 0.0), step)
--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -194,6 +194,30 @@
         self.assertEqual(self.site.processes.by_name["m1"].wait(TIMEOUT_S), 0)
 
 
+class TestStopOfABusyAgent(SiteCase):
+    seed = 8
+    options = {"agent_flags": ("--capacity=100",)}
+
+    def test_all_requests_that_a_leaving_agent_refuses_are_answered_elsewhere(self):
+        """Refusals at a planned stop used up the retry budget, and the rest got 503.
+
+        A machine under load keeps requests waiting to be read, here by a pause, and reads them only
+        after the signal.
+        """
+        processes, addresses = self.site.processes, self.addresses
+        processes.freeze("m1")
+        started = [
+            eventlet.spawn(send_stream, self.site.http, addresses[i % 2], 30, token_s=0.02)
+            for i in range(240)
+        ]
+        time.sleep(0.7)
+        processes.terminate("m1")
+        processes.thaw("m1")
+        answers = [thread.wait() for thread in started]
+        self.assertEqual([a for a in answers if not a.is_complete], [])
+        self.assertEqual(processes.by_name["m1"].wait(TIMEOUT_S), 0)
+
+
 class TestOnce(SiteCase):
     seed = 3
 
