Let the stand-in's upstreams count their heartbeats

The store had been paused, the leases of engines ended, and they registered again with the seq that they had before. Mirrors take such a value for one of an older copy until they trust the new era, 10 s later. A real runner's seq rises with each heartbeat, and the stand-in's never did: a fault of the stand-in. Change: seq counts heartbeats; a value that differs only in it renews the lease. The relay ignores the EOFError of a green socket that its other direction has closed (seen as a traceback, harmless).

--- a/daisystack/tests/on_platform/standin.py
+++ b/daisystack/tests/on_platform/standin.py
@@ -96,8 +96,9 @@
         if lease_ms:
             self.leased.add(key)
             self.lease_ends_s[key] = time.monotonic() + lease_ms / 1000
-        # A repeated value only renews the lease.
-        if not lease_ms or self.items.get(key, (0, b""))[1] != json.dumps(value).encode():
+        known = json.loads(self.items[key][1]) if lease_ms and key in self.items else None
+        # A value that differs in its count of heartbeats only renews the lease.
+        if known is None or known | {"seq": value["seq"]} != value:
             self.put(key, value)
         return json_response(200, {"revision": self.revision})
 
--- a/daisystack/tests/on_platform/upstream.py
+++ b/daisystack/tests/on_platform/upstream.py
@@ -112,6 +112,8 @@
     options: UpstreamOptions
     record: TextIO
     is_leaving: bool = False
+    # Number of heartbeats, by which an entry that comes back is told from one of an older copy.
+    heartbeat_count: int = 0
     born_ms: int = field(factory=lambda: int(time.time() * MS_PER_S))
     engine: ModelRunner = field(init=False)
     slots: _Slots = field(init=False)
@@ -150,10 +152,11 @@
             eventlet.sleep(HEARTBEAT_S)
 
     def _register(self) -> bool:
+        self.heartbeat_count += 1
         entry = {"service": self.options.service, "address": self.options.published}
-        entry |= {"zone": "z1", "version": "v1", "slots": self.options.slots, "seq": 1}
+        entry |= {"zone": "z1", "version": "v1", "slots": self.options.slots}
         entry |= {"state": "draining" if self.is_leaving else "ready", "cold_left_ms": 0}
-        entry |= self._state()
+        entry |= {"seq": self.heartbeat_count} | self._state()
         path = f"/publish/servers/{self.options.id}?lease_ms={LEASE_MS}"
         try:
             connection = client.HTTPConnection(self.options.store, timeout=STORE_TIMEOUT_S)
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -108,7 +108,8 @@
         sink: socket.socket,
         direction: str,
     ) -> None:
-        with contextlib.suppress(OSError):
+        # Green sockets raise EOFError if the other direction has closed them.
+        with contextlib.suppress(OSError, EOFError):
             while data := source.recv(READ_BYTES):
                 self._wait_while_held(connection, direction)
                 if not connection.is_stalled and not connection.is_reset:
