--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo demo-platform test lint gen clean binary bench
+.PHONY: demo demo-platform soak test lint gen clean binary bench
 
 .venv/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv .venv
@@ -49,3 +49,6 @@
 
 demo-platform: .venv/ready
 	$(BIN)/python -m daisystack.tests.on_platform.demo
+
+soak: .venv/ready
+	$(BIN)/python -m tools.soak --seed $(or $(SEED),1) $(SOAK_FLAGS)
