--- a/daisystack/tests/test_soak.py
+++ b/daisystack/tests/test_soak.py
@@ -230,6 +230,18 @@
         early = build_event("arrived", 97.0 + Bounds().drain_s - 0.1)
         self.assert_found("leaving upstreams", [history, leaving, late], [history, leaving, early])
 
+    def test_check_leaving_answers(self):
+        told = build_request("t", upstream="plain-0", is_upstream_leaving=True)
+        late_s = told.ended_s + Bounds().drain_s + 0.5
+        late = build_request("l", sent_s=late_s, ended_s=late_s + 0.1)
+        arrived = build_event("arrived", late_s, name="l")
+        broken = [build_history(told, late), arrived]
+        not_told = build_request("t", upstream="plain-0")
+        self.assert_found("leaving answers", broken, [build_history(not_told, late), arrived])
+        frozen = build_history(told, late)
+        frozen.disturbances = [Disturbance("entry-0", "freeze", 101.0, 101.5)]
+        self.assertEqual(self.breaches("leaving answers", frozen, arrived), [])
+
     def test_check_graceful_stops(self):
         stopped = [Life(0, 0, 0.0, stop_s=99.0, ended_s=103.0, status=0)]
         cut = build_request(status=0, error="closed")
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -21,6 +21,8 @@
 # A request that had no answer for this long was read by its entry.
 LOSS_SLACK_S = 0.5
 RECOVERY_S = 5.0
+# An upstream that left has ended by then, and its id may be used again.
+MAX_DRAIN_S = 2.5
 MIN_SERVED_SHARE = 0.75
 SERVICES = {"draft": "pool", "tale": "pool"}
 REFUSED_KEY, NO_ROUTE = 401, 404
@@ -200,7 +202,7 @@
     for event in evidence.events:
         if event.event == "leaving":
             leaving_s[event.upstream] = event.at_s
-        elif event.event == "loaded" or event.event != "arrived":
+        if event.event != "arrived":
             continue
         late_s = event.at_s - leaving_s.get(event.upstream, float("inf")) - bound_s
         record = evidence.by_id.get(event.id)
@@ -218,8 +220,27 @@
     return breaches
 
 
-# An upstream that left has ended by then, and its id may be used again.
-MAX_DRAIN_S = 2.5
+def check_leaving_answers(evidence: Evidence) -> list[str]:
+    """No entry that passed on that an upstream leaves sends it a request after the bound."""
+    breaches = []
+    bound_s = evidence.bounds.drain_s
+    told_s: dict[tuple[int, int, str], float] = {}
+    for record in sorted(evidence.history.requests, key=lambda record: record.ended_s):
+        if record.is_upstream_leaving and record.life >= 0:
+            told_s.setdefault((record.entry, record.life, record.upstream), record.ended_s)
+    for event in evidence.events:
+        record = evidence.by_id.get(event.id)
+        if event.event != "arrived" or record is None:
+            continue
+        since_s = told_s.get((record.entry, record.life, event.upstream), float("inf"))
+        late_s = record.sent_s - since_s - bound_s
+        is_sound = evidence.history.is_calm((f"entry-{record.entry}",), since_s, event.at_s)
+        if SLACK_S < late_s <= MAX_DRAIN_S and is_sound:
+            breaches.append(
+                f"{event.upstream} got {record.shape.path} from entry {record.entry} {late_s:.2f} "
+                "s after the bound since its answer"
+            )
+    return breaches
 
 
 def check_graceful_stops(evidence: Evidence) -> list[str]:
@@ -350,6 +371,7 @@
     "configuration never back": check_config_order,
     "configuration in force": check_config_bound,
     "leaving upstreams": check_leaving_upstreams,
+    "leaving answers": check_leaving_answers,
     "graceful stops": check_graceful_stops,
     "retry budget": check_retry_budget,
     "weight versions": check_versions,
