--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -82,6 +82,18 @@
     ]
 
 
+def judge(site: SoakSite, history: History) -> list[str]:
+    """Print and return the breaches, and print how long the machine stalled."""
+    evidence = Evidence(history, read_upstream_events(site.record_path), site.bounds)
+    breaches = find_breaches(evidence)
+    for breach in breaches[:MAX_PRINTED_BREACHES]:
+        print(f"BROKEN {breach}", flush=True)
+    stalls_s = history.stalls_s()
+    if stalls_s:
+        print(f"machine stalled {len(stalls_s)} times, up to {max(stalls_s):.2f} s", flush=True)
+    return breaches
+
+
 def main(
     seed: Annotated[int, typer.Option(help="Seed of faults and requests.")],
     seconds: Annotated[float, typer.Option(help="Time with faults, without calm times.")] = 10.0,
@@ -110,10 +122,7 @@
         raise SystemExit(2) from error
     finally:
         site.stop()
-    evidence = Evidence(history, read_upstream_events(site.record_path), site.bounds)
-    breaches = find_breaches(evidence)
-    for breach in breaches[:MAX_PRINTED_BREACHES]:
-        print(f"BROKEN {breach}", flush=True)
+    breaches = judge(site, history)
     if breaches or keep:
         write_requests(history, folder / "requests.jsonl")
         target = logs / f"seed-{seed}"
@@ -121,9 +130,6 @@
         shutil.copytree(folder, target)
         print(f"logs kept in {target}", flush=True)
     shutil.rmtree(folder)
-    stalls_s = history.stalls_s()
-    if stalls_s:
-        print(f"machine stalled {len(stalls_s)} times, up to {max(stalls_s):.2f} s", flush=True)
     served = sum(record.is_served for record in history.requests)
     print(
         f"seed {seed}: {sum(injector.counts.values())} faults, {len(history.requests)} requests, "
