--- a/daisystack/tests/on_platform/upstream.py
+++ b/daisystack/tests/on_platform/upstream.py
@@ -39,7 +39,7 @@
     build_piece,
 )
 
-__all__ = ["UpstreamOptions", "main"]
+__all__ = ["UpstreamOptions", "UpstreamStandin", "main"]
 
 POLL_S = 0.005
 HEARTBEAT_S = 0.5
--- a/daisystack/tests/test_soak.py
+++ b/daisystack/tests/test_soak.py
@@ -1,6 +1,8 @@
 """Test the soak: a short run is clean, planted faults are found, and each check can fail."""
 
 import contextlib
+import io
+import json
 import os
 import socket
 import sys
@@ -9,8 +11,13 @@
 import unittest
 from pathlib import Path
 
+import attrs
+import eventlet
+from eventlet.green import socket as green_socket
+
 from daisystack.core.addresses import Address
 from daisystack.tests.on_platform.soak_site import PLANTED_VARIABLE, Bounds, RequestShape
+from daisystack.tests.on_platform.upstream import UpstreamOptions, UpstreamStandin
 from tools.processes import Processes
 from tools.relay import TO_CALLER, Relay
 from tools.soak.checks import CHECKS, Evidence
@@ -279,6 +286,63 @@
             self.assertEqual(len(self.breaches("recovery", history)), count)
 
 
+class TestUpstreamStandin(unittest.TestCase):
+    """Engines of the soak must queue as real ones do, or it would miss what runs too late."""
+
+    def setUp(self):
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.port = probe.getsockname()[1]
+        self.record = io.StringIO()
+        self.sockets = []
+        address = f"127.0.0.1:{self.port}"
+        # Nothing listens at the store's address.
+        options = UpstreamOptions("u", "ledger", address, address, "127.0.0.1:1", "", slots=1)
+        self.upstream = UpstreamStandin(attrs.evolve(options, queue=2, pause_s=1.5), self.record)
+        self.upstream.start()
+
+    def send(self, name, deadline_ms=3000):
+        sock = green_socket.create_connection(("127.0.0.1", self.port))
+        # A green socket closes when it is collected.
+        self.sockets.append(sock)
+        self.addCleanup(sock.close)
+        head = f"POST /post/{name} HTTP/1.1\r\nHost: u\r\nX-Attempt-Id: {name}\r\n"
+        head += f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: 2\r\n\r\n"
+        sock.sendall(head.encode() + b"{}")
+        eventlet.sleep(0.05)
+        return sock
+
+    def events(self, kind):
+        lines = map(json.loads, self.record.getvalue().splitlines())
+        return [(x["id"], x.get("reason", "")) for x in lines if x["event"] == kind]
+
+    def test_a_queued_request_runs_unless_its_caller_left_or_its_deadline_passed(self):
+        self.send("first")
+        self.send("left").close()
+        self.send("late", deadline_ms=100)
+        eventlet.sleep(0.1)
+        self.send("next")
+        self.send("after")
+        self.send("many")
+        with eventlet.Timeout(15.0, False):
+            while len(self.events("began")) < 3:
+                eventlet.sleep(0.05)
+        self.assertEqual([id_ for id_, _ in self.events("began")], ["first", "next", "after"])
+        refused = [("left", "closed"), ("late", "deadline"), ("many", "full")]
+        self.assertEqual(self.events("refused"), refused)
+
+    def test_nothing_begins_while_it_loads_and_a_leaving_one_says_so(self):
+        self.upstream.slots.is_loading = True
+        self.send("loading")
+        self.assertEqual(self.events("refused"), [("loading", "loading")])
+        self.upstream.slots.is_loading = False
+        self.upstream.is_leaving = True
+        sock = self.send("leaving")
+        sock.settimeout(10.0)
+        answer = sock.recv(1000).decode()
+        self.assertIn("Server-Leaving: 1", answer)
+        self.assertIn("200 OK", answer)
+
+
 class TestShapes(unittest.TestCase):
     def test_the_fault_of_a_body_is_found(self):
         shape = RequestShape("r", "post", 1, 3.0)
