--- a/daisystack/testing/fleet.py
+++ b/daisystack/testing/fleet.py
@@ -35,6 +35,7 @@
 STORE_ZONE = "z0"
 CONFIG_KEY = "op/config"
 UPSTREAMS = 48
+LONG_ANSWER_BYTES = 100_000
 AGE_SAMPLE_INTERVAL_S = 0.05
 
 
@@ -55,8 +56,9 @@
         self.at_s = max(self.at_s + (seconds or 0.0), self.sleep_until() or 0.0)
 
 
-def run_in_passed_time(action: Callable[[], object]) -> object:
+def run_in_passed_time(action: Callable[[], object], seed: int = 1) -> object:
     """Return the result of an action, run in a thread of its own whose time passes at once."""
+    random.seed(seed)
     results: list[object] = []
     errors: list[BaseException] = []
 
@@ -140,6 +142,7 @@
     items: dict[str, Change] = field(factory=dict)
     revision: int = 1
     calls: int = 0
+    long_answers: int = 0
     is_down: bool = False
     # How long a call lasts that gets no answer.
     silence_s: float = 0.01
@@ -193,6 +196,7 @@
 
     def _receive(self, changes: tuple[Change, ...]) -> None:
         count = sum(120 + len(change.value) * 4 // 3 for change in changes)
+        self.store.long_answers += count > LONG_ANSWER_BYTES
         try:
             transfer([*self.machine.store_links, self.machine.downlink], count, 1.0)
         except TimeoutError as error:
