Count the crash of one upstream once for a request, however many equal ones it ran

Callers could see: 502 for ten minutes, at all entries, for a request of which two equal copies were running at one upstream that crashed once. Cause: the hold counted requests that were cut, not crashes. Ruled out: a higher limit, which lets a request that does crash upstreams end more of them. Change: a count keeps the incarnations that it counted. Test: held after one crash before (an error on the old signature), suspect now and held after a second upstream. Conclusion: exact repeats are held as before.

--- a/daisystack/core/crash_hold.py
+++ b/daisystack/core/crash_hold.py
@@ -13,6 +13,7 @@
 RETENTION_S = 600.0
 MAX_FINGERPRINTS = 4096
 MAX_REPORTED = 32
+MAX_COUNTED = 8
 # Entries whose counts of one request are kept; fewer hold it already.
 MAX_ENTRIES = 8
 
@@ -39,6 +40,8 @@
 class _CrashCount:
     count: int
     last_s: float
+    # Incarnations of upstreams counted here, the latest MAX_COUNTED.
+    upstreams: tuple[bytes, ...] = ()
 
 
 @define
@@ -52,12 +55,19 @@
     # The latest counts by entry and fingerprint; None after a change.
     _newest: list[tuple[str, str, _CrashCount]] | None = None
 
-    def record_crash(self, fingerprint: str, now_s: float) -> int:
-        """Count a crash and return the total, with the counts of other entries."""
+    def record_crash(self, fingerprint: str, now_s: float, upstream: bytes | None = None) -> int:
+        """Count a crash and return the total, with the counts of other entries.
+
+        The crash of one incarnation of an upstream counts once, however many equal requests it ran.
+        """
         if fingerprint not in self._own_counts and len(self._own_counts) >= MAX_FINGERPRINTS:
             self._own_counts.pop(min(self._own_counts, key=lambda f: self._own_counts[f].last_s))
         self._newest = None
         crashes = self._own_counts.setdefault(fingerprint, _CrashCount(0, now_s))
+        if upstream is not None and upstream in crashes.upstreams:
+            return self._count(fingerprint, now_s)
+        if upstream is not None:
+            crashes.upstreams = (*crashes.upstreams[1 - MAX_COUNTED :], upstream)
         crashes.count += 1
         crashes.last_s = now_s
         return self._count(fingerprint, now_s)
--- a/daisystack/runtime/crash_watch.py
+++ b/daisystack/runtime/crash_watch.py
@@ -96,7 +96,7 @@
         if probe is _Probe.LISTENING:
             self._probe_late(request, upstream, has_begun)
             return False
-        self.hold.record_crash(_fingerprint(request), now_s())
+        self._count_request(request, upstream)
         if probe is _Probe.REFUSED and has_begun:
             self._record_crash(request, upstream)
         self.on_news()
@@ -115,6 +115,10 @@
         if is_news:
             self.on_news()
 
+    def _count_request(self, request: DirectRequest, upstream: DirectUpstream) -> None:
+        incarnation = digest_upstream(upstream.id, upstream.started_ms)
+        self.hold.record_crash(_fingerprint(request), now_s(), incarnation)
+
     def _record_crash(self, request: DirectRequest, upstream: DirectUpstream) -> None:
         digests = _digests(request)
         held_before = self.suspects.held_parts
@@ -148,7 +152,7 @@
         requests = self._probed_late.pop(upstream.id)
         if probe is _Probe.REFUSED:
             for request, has_begun in requests:
-                self.hold.record_crash(_fingerprint(request), now_s())
+                self._count_request(request, upstream)
                 if has_begun:
                     self._record_crash(request, upstream)
             self.on_news()
--- a/daisystack/tests/test_crashes.py
+++ b/daisystack/tests/test_crashes.py
@@ -67,6 +67,15 @@
         self.assertLessEqual(max(map(len, hold._entry_counts.values())), MAX_ENTRIES)
         self.assertEqual(len(hold.known_counts(1.0)), MAX_REPORTED)
 
+    # Two equal requests at one upstream that crashed once were refused everywhere for ten minutes.
+    def test_the_crash_of_one_upstream_counts_once(self):
+        hold = CrashHold()
+        hold.record_crash("f", 0.0, b"u1")
+        hold.record_crash("f", 0.1, b"u1")
+        self.assertIs(hold.evaluate("f", 0.2), Suspicion.SUSPECT)
+        hold.record_crash("f", 0.3, b"u2")
+        self.assertIs(hold.evaluate("f", 0.4), Suspicion.HELD)
+
 
 class TestCrashAttribution(unittest.TestCase):
     def test_a_crash_is_attributed_to_the_suspect_or_else_to_all(self):
