Give the test of confirmed copies one result, as KNOWN-RED.txt names tests

Cause: its plays were parts of a test (subTest), which the verdict reads as tests of their own, so that the listed one counted as green. Ruled out: listing the parts, as not the same ones fail each time. Change: the plays that are late are collected and must be none; the bounds are the same.

--- a/daisystack/tests/test_config_in_force.py
+++ b/daisystack/tests/test_config_in_force.py
@@ -117,12 +117,15 @@
 class TestConfirmation(unittest.TestCase):
     def test_copies_stay_confirmed_in_quick_series_and_without_readers(self):
         """Guards against requests that wait or are refused while many entries read at once."""
+        # One result for all plays, as KNOWN-RED.txt names tests and not their parts.
+        late = {}
         for action, seeds in ((publish_quick_series, range(2, 8)), (publish_without_readers, (5,))):
             for seed in seeds:
-                with self.subTest(action=action.__name__, seed=seed):
-                    fleet = play(action, bound_s=2.0, seed=seed)
-                    self.assertLess(fleet.worst_age_s, 2.0)
-                    self.assertLess(max(fleet.worst_delays_s().values()), 2.0)
+                fleet = play(action, bound_s=2.0, seed=seed)
+                worst_s = max(fleet.worst_age_s, *fleet.worst_delays_s().values())
+                if worst_s >= 2.0:
+                    late[action.__name__, seed] = worst_s
+        self.assertEqual(late, {})
 
 
 class TestCost(unittest.TestCase):
