Build the parts of an entry in functions of their own

Ruled out: a new module, as the parts share the entry's state. Change: mesh, pieces, metrics and mirror tasks are built by functions; no behaviour. Conclusion: read-through.

--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -85,30 +85,54 @@
     def __attrs_post_init__(self) -> None:
         prefixes = (self.operator_prefix, self.upstream_prefix)
         self.mirrors = {prefix: Mirror(prefix, self.reader.document_version) for prefix in prefixes}
-        engines = EngineStatusTable()
         pauses = UpstreamPauses(self.settings.publication_bound_s)
         zone = self.settings.identity.zone
-        self.placement = Placement(random.SystemRandom(), engines, pauses=pauses, zone=zone)
+        rng = random.SystemRandom()
+        self.placement = Placement(rng, EngineStatusTable(), pauses=pauses, zone=zone)
         targets = Targets(self.settings.publication_bound_s)
         self.published = PublishedState(self.reader, self.placement, targets)
         own = self._build_own_member()
         hold = CrashHold(f"{own.id}/{own.incarnation}")
         crashes = CrashWatch(hold, on_news=lambda: self.mesh.exchange_news())
-        self.mesh = MeshTask(
+        self.mesh = self._build_mesh(own, crashes)
+        self.pieces = self._build_pieces()
+        # Pieces are pulled as soon as the store or a peer reports a new version.
+        self.published.on_target.append(self.pieces.start_share_pull)
+        self.mesh.on_target.append(self.pieces.start_share_pull)
+        self.requests = self._build_requests(crashes)
+        address = parse_address(self.settings.caller_address)
+        self.server = CallerServer(
+            address, self.requests.handle, self._limits, lambda: self.is_leaving
+        )
+        self.metrics = MetricsServer(self.settings.metrics_address, self._gauge_samples)
+        self._record_metrics(EntryMetrics(self.metrics.registry))
+        self.mirror_tasks = self._build_mirror_tasks()
+        self.gate = BeliefGate(
+            self.mirror_tasks,
+            self.settings.publication_bound_s,
+            self.mesh.heard_age_s,
+            self.mesh.exchange_news,
+        )
+        self.requests.wait_until_current = self._wait_until_current
+
+    def _build_mesh(self, own: Member, crashes: CrashWatch) -> MeshTask:
+        return MeshTask(
             own,
             self.settings.identity.seeds,
             tuple(self.mirrors.values()),
             self.apply_changes,
             own_in_flight=self.placement.own_counts,
-            known_crash_counts=hold.known_counts,
+            known_crash_counts=crashes.hold.known_counts,
             on_in_flight=self.placement.update_entry_counts,
             on_crash_counts=crashes.apply_reported_counts,
             known_parts=crashes.suspects.report,
             on_parts=crashes.apply_reported,
-            engines=engines,
+            engines=self.placement.engines,
             targets=self.published.targets,
         )
-        self.pieces = PieceTask(
+
+    def _build_pieces(self) -> PieceTask:
+        return PieceTask(
             lambda: self.mesh.own,
             lambda: self.mesh.live_entries(now_s()),
             self.find_origin,
@@ -117,42 +141,23 @@
             self._serving_agents,
             self._origin_connections,
         )
-        # Pieces are pulled as soon as the store or a peer reports a new version.
-        self.published.on_target.append(self.pieces.start_share_pull)
-        self.mesh.on_target.append(self.pieces.start_share_pull)
-        self.requests = self._build_requests(crashes)
-        address = parse_address(self.settings.caller_address)
-        self.server = CallerServer(
-            address, self.requests.handle, self._limits, lambda: self.is_leaving
-        )
-        self.metrics = MetricsServer(self.settings.metrics_address, self._gauge_samples)
-        entry_metrics = EntryMetrics(self.metrics.registry)
-        self.requests.on_request_ended = entry_metrics.record_request
-        self.requests.on_attempt_ended = entry_metrics.record_attempt
-        self.requests.on_expired_start = entry_metrics.record_expired_start
+
+    def _record_metrics(self, metrics: EntryMetrics) -> None:
+        self.requests.on_request_ended = metrics.record_request
+        self.requests.on_attempt_ended = metrics.record_attempt
+        self.requests.on_expired_start = metrics.record_expired_start
+
+    def _build_mirror_tasks(self) -> list[MirrorTask]:
         max_key_age_s = self.settings.revoke_bound_s - KEY_AGE_MARGIN_S
         bound_s = mirror_bound_s(self.settings.publication_bound_s, max_key_age_s)
-        self.mirror_tasks = [
-            MirrorTask(
-                mirror,
-                self.store,
-                self._reader_rank,
-                self.apply_changes,
-                bound_s,
-            )
+        operator_task, upstream_task = (
+            MirrorTask(mirror, self.store, self._reader_rank, self.apply_changes, bound_s)
             for mirror in self.mirrors.values()
-        ]
-        operator_task, upstream_task = self.mirror_tasks
+        )
         # The configuration may be long, the list of upstreams is short.
         operator_task.confirmer = upstream_task
         upstream_task.on_snapshot = self.mirrors[self.operator_prefix].apply_other_prefix
-        self.gate = BeliefGate(
-            self.mirror_tasks,
-            self.settings.publication_bound_s,
-            self.mesh.heard_age_s,
-            self.mesh.exchange_news,
-        )
-        self.requests.wait_until_current = self._wait_until_current
+        return [operator_task, upstream_task]
 
     @property
     def is_ready(self) -> bool:
