Rename Disturbance to Disruption in the soak

Old name: Disturbance, disturbances. New name: Disruption, disruptions. Reason: the field's term instead of the wording of the users' pages (DEVELOPERS, Wording).

--- a/daisystack/tests/test_soak.py
+++ b/daisystack/tests/test_soak.py
@@ -23,7 +23,7 @@
 from tools.soak.checks import CHECKS, Evidence
 from tools.soak.plan import ALWAYS, draw_faults
 from tools.soak.records import (
-    Disturbance,
+    Disruption,
     History,
     Life,
     Publication,
@@ -227,7 +227,7 @@
                 [build_history(early, configs=configs)],
             )
         cut_off = build_history(late, configs=configs)
-        cut_off.disturbances = [Disturbance("store:0", "silence", 11.0, 12.9)]
+        cut_off.disruptions = [Disruption("store:0", "silence", 11.0, 12.9)]
         self.assertEqual(self.breaches(name, cut_off), [])
 
     def test_check_leaving_upstreams(self):
@@ -246,7 +246,7 @@
         not_told = build_request("t", upstream="plain-0")
         self.assert_found("leaving answers", broken, [build_history(not_told, late), arrived])
         frozen = build_history(told, late)
-        frozen.disturbances = [Disturbance("entry-0", "freeze", 101.0, 101.5)]
+        frozen.disruptions = [Disruption("entry-0", "freeze", 101.0, 101.5)]
         self.assertEqual(self.breaches("leaving answers", frozen, arrived), [])
 
     def test_check_graceful_stops(self):
@@ -275,7 +275,7 @@
             build_event(upstream="engine-0", service="pool", version=version) for version in (1, 2)
         )
         self.assert_found("weight versions", [history, old], [history, new])
-        history.disturbances = [Disturbance("store", "freeze", 95.0, 96.0)]
+        history.disruptions = [Disruption("store", "freeze", 95.0, 96.0)]
         self.assertEqual(self.breaches("weight versions", history, old), [])
 
     def test_check_recovery(self):
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -29,7 +29,7 @@
 from tools.soak.checks import RECOVERY_S, Evidence, find_breaches
 from tools.soak.faults import Injector
 from tools.soak.plan import Fault, draw_faults
-from tools.soak.records import MACHINE, Disturbance, History, read_upstream_events, write_requests
+from tools.soak.records import MACHINE, Disruption, History, read_upstream_events, write_requests
 
 WARM_UP_S = 1.0
 MEASURED_S = 3.0
@@ -69,7 +69,7 @@
         time.sleep(WATCH_INTERVAL_S)
         now_s = time.monotonic()
         if now_s - expected_s > MIN_STALL_S:
-            history.disturbances.append(Disturbance(MACHINE, "stall", expected_s, now_s))
+            history.disruptions.append(Disruption(MACHINE, "stall", expected_s, now_s))
 
 
 def draw_planned_work(seed: int, site: SoakSite) -> list[Fault]:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -278,7 +278,7 @@
     start_s = record.sent_s - STABLE_S
     others = [
         d
-        for d in evidence.history.disturbances
+        for d in evidence.history.disruptions
         if d.target == f"entry-{record.entry}" and d.kind != "terminate"
     ]
     return evidence.history.is_calm(targets, start_s, record.ended_s) and not any(
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -96,38 +96,38 @@
 
     def _disturb_link(self, fault: Fault) -> None:
         relay = self.site.relays[fault.target]
-        disturbance = self.history.begin(fault.target, fault.kind)
+        disruption = self.history.begin(fault.target, fault.kind)
         relay.delay_s = DELAY_S if fault.kind == "delay" else 0.0
         relay.held = HELD_BY_KIND.get(fault.kind, frozenset())
         time.sleep(fault.duration_s)
         relay.delay_s, relay.held = 0.0, frozenset()
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _reset_link(self, fault: Fault) -> None:
-        disturbance = self.history.begin(fault.target, fault.kind)
+        disruption = self.history.begin(fault.target, fault.kind)
         self.site.relays[fault.target].reset_connections()
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _freeze(self, fault: Fault) -> None:
-        disturbance = self.history.begin(fault.target, fault.kind)
+        disruption = self.history.begin(fault.target, fault.kind)
         self.site.processes.freeze(fault.target)
         time.sleep(fault.duration_s)
         self.site.processes.thaw(fault.target)
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _kill(self, fault: Fault) -> None:
-        disturbance = self.history.begin(fault.target, fault.kind)
+        disruption = self.history.begin(fault.target, fault.kind)
         self.site.processes.kill(fault.target)
         self._record_end(fault.target)
         time.sleep(fault.duration_s)
         self._start(fault.target)
         self._wait_until_ready(fault.target)
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _terminate(self, fault: Fault) -> None:
         """Stop a program gracefully, kill it after its grace, and start it again."""
         process = self.site.processes.by_name[fault.target]
-        disturbance = self.history.begin(fault.target, "terminate")
+        disruption = self.history.begin(fault.target, "terminate")
         if fault.target.startswith("entry"):
             self._life(fault.target).stop_s = time.monotonic()
         process.signal(signal.SIGTERM)
@@ -139,7 +139,7 @@
         time.sleep(RESTART_S)
         self._start(fault.target)
         self._wait_until_ready(fault.target)
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _hang_up(self, fault: Fault) -> None:
         self.site.hang_up(fault.target)
@@ -152,11 +152,11 @@
         ends_s = time.monotonic() + LEAVE_TIMEOUT_S
         while process.is_running() and time.monotonic() < ends_s:
             time.sleep(STOP_POLL_S)
-        disturbance = self.history.begin(fault.target, "restart")
+        disruption = self.history.begin(fault.target, "restart")
         self.site.processes.kill(fault.target)
         time.sleep(fault.duration_s)
         self._start(fault.target)
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _publish_configs(self, fault: Fault) -> None:
         for _ in range(self._rng.randint(1, MAX_VERSIONS)):
@@ -191,7 +191,7 @@
         if self._rng.random() < 0.5:
             self.publish_weights()
         time.sleep(fault.duration_s)
-        disturbance = self.history.begin("store", "drill")
+        disruption = self.history.begin("store", "drill")
         restored_s = time.monotonic()
         self.site.drill("restore")
         for publications, version in zip(
@@ -201,7 +201,7 @@
         time.sleep(REPUBLISH_S)
         self.publish_config()
         self.publish_weights()
-        disturbance.end_s = time.monotonic()
+        disruption.end_s = time.monotonic()
 
     def _start(self, name: str) -> None:
         kind, _, number = name.partition("-")
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -1,4 +1,4 @@
-"""Records of a run: requests, what upstreams saw, disturbances, publications and lives."""
+"""Records of a run: requests, what upstreams saw, disruptions, publications and lives."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 __all__ = [
     "MACHINE",
-    "Disturbance",
+    "Disruption",
     "History",
     "Life",
     "Publication",
@@ -22,7 +22,7 @@
     "write_requests",
 ]
 
-# Target of disturbances that hit the soak itself and with it all programs.
+# Target of disruptions that hit the soak itself and with it all programs.
 MACHINE = "machine"
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -74,7 +74,7 @@
 
 
 @define
-class Disturbance:
+class Disruption:
     """Time during which a process or a link was disturbed; end_s is infinite until it ends."""
 
     target: str
@@ -109,7 +109,7 @@
     """Everything that was done to the programs, and every request that callers sent."""
 
     requests: list[RequestRecord] = field(factory=list)
-    disturbances: list[Disturbance] = field(factory=list)
+    disruptions: list[Disruption] = field(factory=list)
     configs: list[Publication] = field(factory=list)
     weights: list[Publication] = field(factory=list)
     lives: list[Life] = field(factory=list)
@@ -117,11 +117,11 @@
     # When planned work begins; until then recovery is measured.
     planned_from_s: float = float("inf")
 
-    def begin(self, target: str, kind: str) -> Disturbance:
-        """Record that a disturbance begins now."""
-        disturbance = Disturbance(target, kind, time.monotonic())
-        self.disturbances.append(disturbance)
-        return disturbance
+    def begin(self, target: str, kind: str) -> Disruption:
+        """Record that a disruption begins now."""
+        disruption = Disruption(target, kind, time.monotonic())
+        self.disruptions.append(disruption)
+        return disruption
 
     def life(self, entry: int) -> int:
         """Return the number of an entry's present or latest life."""
@@ -141,17 +141,17 @@
             (d.target in (*targets, MACHINE) or d.target.startswith(prefixes or "\n"))
             and d.start_s <= end_s
             and d.end_s >= start_s
-            for d in self.disturbances
+            for d in self.disruptions
         )
 
     def stalls_s(self) -> list[float]:
         """Return how long the machine gave this process no time, for each such stall."""
-        return [d.end_s - d.start_s for d in self.disturbances if d.target == MACHINE]
+        return [d.end_s - d.start_s for d in self.disruptions if d.target == MACHINE]
 
 
 def write_requests(history: History, path: Path) -> None:
-    """Write one line for each request and each disturbance."""
-    records = [*history.disturbances, *history.lives, *history.configs, *history.weights]
+    """Write one line for each request and each disruption."""
+    records = [*history.disruptions, *history.lives, *history.configs, *history.weights]
     records += sorted(history.requests, key=lambda record: record.sent_s)
     with path.open("w") as stream:
         for record in records:
