Name the arguments of AttemptGuard and the terms of CrashSuspects

Cause: read-through; eight arguments by position, three of them functions, and terms that no text defined. Change: keywords, one paragraph, a comment that says what changed, one check instead of two for an answer that has begun. Conclusion: read-through.

--- a/daisystack/core/crash_suspects.py
+++ b/daisystack/core/crash_suspects.py
@@ -1,8 +1,10 @@
 """Find the parts of prompts that crash upstreams, from the crashes and the complete answers.
 
 A crash takes along all requests that run beside its cause. A part that causes crashes never has a
-complete answer, so each complete answer clears the parts of its request. Of the parts that are
-not cleared, the one that explains the most crashes is held, and these stop counting against others.
+complete answer, so each complete answer clears the parts of its request. A crash of a part that no
+later complete answer has cleared is open. Of the parts with open crashes, the one that explains the
+most of them is held, and these stop counting against others. A part is sound if it ever had a
+complete answer; parts in the same crashes are tied, and more crashes are asked of both kinds.
 """
 
 from __future__ import annotations
--- a/daisystack/core/verdicts.py
+++ b/daisystack/core/verdicts.py
@@ -24,7 +24,7 @@
     HELD = "held"
     DEADLINE_IN_QUEUE = "deadline_in_queue"
     CONNECT_FAILED = "connect_failed"
-    # Something that allowed the request changed while the connection was opened.
+    # The key, the upstream or its version allowed it no longer when the connection was open.
     NOT_SENT = "not_sent"
     REFUSED_AT_GATE = "refused_at_gate"
     # The connection lost the request, and its ticket is sealed.
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -60,8 +60,6 @@
             raise AttemptFailed(end, "its machine stands still")
 
     def _must_withdraw(self, now_s: float) -> bool:
-        if self.sent.is_prefilled:
-            return False
         deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, now_s)
         return must_withdraw(self.sent, deadline_s, now_s)
 
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -290,14 +290,16 @@
         sent: SentRequest,
     ) -> AttemptGuard:
         return AttemptGuard(
-            self.placement,
-            upstream,
-            sent,
-            context.state,
-            self._version_deadline(context),
-            lambda at_s: self._build_requirements(context, at_s),
-            lambda at_s: self._budgets.can_consume(context.service, self.count_entries(), at_s),
-            lambda: self._is_authorized(context, workspace),
+            placement=self.placement,
+            upstream=upstream,
+            sent=sent,
+            state=context.state,
+            version_deadline_s=self._version_deadline(context),
+            build_requirements=lambda at_s: self._build_requirements(context, at_s),
+            can_retry=lambda at_s: self._budgets.can_consume(
+                context.service, self.count_entries(), at_s
+            ),
+            is_authorized=lambda: self._is_authorized(context, workspace),
         )
 
     def _is_authorized(self, context: _RequestContext, workspace: Workspace | None) -> bool:
