--- a/daisystack/tests/test_config_in_force.py
+++ b/daisystack/tests/test_config_in_force.py
@@ -119,7 +119,10 @@
         """Guards against requests that wait or are refused while many entries read at once."""
         # One result for all plays, as KNOWN-RED.txt names tests and not their parts.
         late = {}
-        for action, seeds in ((publish_quick_series, range(2, 8)), (publish_without_readers, (5,))):
+        for action, seeds in (
+            (publish_quick_series, range(2, 12)),
+            (publish_without_readers, (5,)),
+        ):
             for seed in seeds:
                 fleet = play(action, bound_s=2.0, seed=seed)
                 worst_s = max(fleet.worst_age_s, *fleet.worst_delays_s().values())
