Read the rate limits that upstreams name, and log when one is learned, changes or ends

No log, metric or event told whether an entry had read a limit, which one, or from whom, so that 'not read' and 'kept by each entry alone' could not be told apart by a record. Change: the adapter reads the header (several values pass for none, a 421 comes from another upstream), core/rate_limits.py keeps what is believed, two events and a labelled gauge show it. Nothing obeys it yet. Labelled gauges forget values that are no longer reported. Ruled out: keeping it in the list of pauses, whose records end by time; a limit ends by an answer. Figures: test_rate_limits, 11 tests.

--- a/daisystack/core/direct_request.py
+++ b/daisystack/core/direct_request.py
@@ -63,3 +63,9 @@
     # How long the upstream wants no requests from this instance, as it wrote it.
     retry_after: str | None
     headers: tuple[tuple[bytes, bytes], ...]
+    # How many requests per second the upstream takes from all instances, as it wrote it.
+    rate_limit: str | None = None
+
+    def is_from_upstream(self, request_id: str) -> bool:
+        """Return whether the upstream that was addressed wrote this answer to a request."""
+        return self.request_id == request_id and (self.is_genuine or self.was_not_run)
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -13,6 +13,7 @@
 
 from daisystack.core.engine_latency import EngineLoad, predict_first_event_s, predict_service_time_s
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
+from daisystack.core.rate_limits import RateLimits
 from daisystack.core.traffic import EngineProfile
 from daisystack.core.upstream_pauses import UpstreamPauses
 
@@ -190,6 +191,7 @@
     engines: EngineStatusTable
     profiles: dict[str, EngineProfile] = field(factory=dict)
     pauses: UpstreamPauses = field(factory=UpstreamPauses)
+    limits: RateLimits = field(factory=RateLimits)
     zone: str = ""
     _upstreams: dict[str, DirectUpstream] = field(factory=dict)
     _own_requests: dict[str, set[SentRequest]] = field(factory=dict)
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -346,6 +346,15 @@
             ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
             ("daisystack_peer_bytes", "Piece bytes from entries", self.pieces.peer_bytes),
             ("daisystack_agent_bytes", "Piece bytes from agents", self.pieces.agent_bytes),
+            *(
+                (
+                    "daisystack_rate_limit_per_second",
+                    "Requests per second that an upstream takes from all entries",
+                    limit_per_s,
+                    {"upstream": upstream_id},
+                )
+                for (upstream_id, _), limit_per_s in self.placement.limits.limited().items()
+            ),
         ]
 
     def _serving_agents(self, version: int) -> list[Member]:
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -20,6 +20,7 @@
     Refusal,
     SentRequest,
 )
+from daisystack.core.rate_limits import parse_rate_limit
 from daisystack.core.requests import (
     AttemptOutcome,
     Done,
@@ -47,6 +48,7 @@
 )
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.published import PublishedState
+from daisystack.runtime.rate_limit_log import ANSWER_SOURCE, log_limit_change
 from daisystack.runtime.request_summary import RequestSummary
 
 __all__ = ["DirectRequests", "DirectRequestSettings"]
@@ -341,7 +343,7 @@
                 self._priority(workspace, context.route),
                 self.placement.run_until_s(upstream, requirements, started_s),
                 self._build_guard(context, upstream, workspace, sent),
-                lambda answer: self._record_notices(upstream, answer),
+                lambda answer: self._record_answer_head(request, upstream, sent, answer),
             )
         finally:
             self.placement.end(sent, now_s())
@@ -393,6 +395,35 @@
         self.on_expired_start(expired)
         log_event(_logger, expired)
 
+    def _record_answer_head(
+        self,
+        request: DirectRequest,
+        upstream: DirectUpstream,
+        sent: SentRequest,
+        answer: DirectAnswer,
+    ) -> None:
+        self._record_notices(upstream, answer)
+        if answer.is_from_upstream(request.id):
+            self._record_rate_limit(upstream, sent, answer)
+
+    def _record_rate_limit(
+        self, upstream: DirectUpstream, sent: SentRequest, answer: DirectAnswer
+    ) -> None:
+        limits = self.placement.limits
+        if answer.rate_limit is None:
+            # A refusal may be written without regard to the limit.
+            if not answer.was_not_run:
+                change = limits.record_absent(upstream.id, upstream.started_ms, sent.sent_s)
+                log_limit_change(change, ANSWER_SOURCE)
+            return
+        try:
+            limit_per_s = parse_rate_limit(answer.rate_limit)
+        except ValueError as error:
+            log_event(_logger, UpstreamNoticeIgnored(upstream.id, f"rate limit: {error}"))
+            return
+        change = limits.record_named(upstream.id, upstream.started_ms, limit_per_s, now_s())
+        log_limit_change(change, ANSWER_SOURCE)
+
     def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
         """Record what an upstream says of itself in the head of a response."""
         at_s = now_s()
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -46,6 +46,8 @@
     "UpstreamLeaving",
     "UpstreamNoticeIgnored",
     "UpstreamPaused",
+    "UpstreamRateLimitEnded",
+    "UpstreamRateLimited",
     "WeightSourceFailed",
     "WeightsHeld",
     "WeightsStaged",
@@ -275,6 +277,30 @@
     pause_s: float
 
 
+@frozen(eq=False, repr=False)
+class UpstreamRateLimited:
+    """An upstream takes limit_per_s requests from all entries together; it was -1 without a limit.
+
+    source is "answer", or the id of the entry that told of it.
+    """
+
+    upstream: str
+    started_ms: int
+    limit_per_s: float
+    before_per_s: float
+    source: str
+
+
+@frozen(eq=False, repr=False)
+class UpstreamRateLimitEnded:
+    """An upstream no longer names a limit."""
+
+    upstream: str
+    started_ms: int
+    before_per_s: float
+    source: str
+
+
 @frozen(eq=False, repr=False)
 class UpstreamNoticeIgnored:
     """An upstream sent a header that can't be understood."""
--- a/daisystack/runtime/metrics_server.py
+++ b/daisystack/runtime/metrics_server.py
@@ -18,8 +18,8 @@
 
 METRICS_PATH = "/metrics"
 
-# A gauge's name, help text and current value.
-Sample = tuple[str, str, float]
+# A gauge's name, help text and current value, and its labels if it has any.
+Sample = tuple[str, str, float] | tuple[str, str, float, dict[str, str]]
 
 
 @define(eq=False)
@@ -45,10 +45,14 @@
         """Return the metrics in the Prometheus text format."""
         from aioprometheus import Gauge, render
 
-        for name, help_text, value in self.samples():
+        samples = list(self.samples())
+        for name, help_text, *_ in samples:
             if name not in self._gauges:
                 self._gauges[name] = Gauge(name, help_text, registry=self.registry)
-            self._gauges[name].set({}, value)
+            # Forgets label values that are no longer reported.
+            self._gauges[name].values.clear()
+        for name, _, value, *labels in samples:
+            self._gauges[name].set(labels[0] if labels else {}, value)
         return render(self.registry, ["text/plain"])[0]
 
     def _serve(self, request: Request, subpath: str) -> Response:
--- a/daisystack/testing/direct.py
+++ b/daisystack/testing/direct.py
@@ -41,6 +41,7 @@
 VERSION = b"daisystack-version"
 LEAVING = b"daisystack-leaving"
 RETRY_AFTER = b"daisystack-retry-after"
+RATE_LIMIT = b"daisystack-rate-limit"
 
 
 @frozen
@@ -97,6 +98,7 @@
             is_leaving=LEAVING in fields,
             retry_after=fields[RETRY_AFTER].decode() if RETRY_AFTER in fields else None,
             headers=tuple(h for h in headers if h[0] == MARK),
+            rate_limit=fields[RATE_LIMIT].decode() if RATE_LIMIT in fields else None,
         )
 
     def echo_headers(self, request_id) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/daisystack/tests/test_rate_limits.py
@@ -0,0 +1,143 @@
+"""Test which limits of upstreams are believed, from which answers, and when they end."""
+
+import unittest
+
+from daisystack.core.rate_limits import (
+    MAX_RECORDS,
+    MIN_LIMIT_PER_S,
+    LimitNews,
+    RateLimits,
+    parse_rate_limit,
+)
+from daisystack.testing.direct import (
+    RecordingResponder,
+    build_inbound,
+    build_policy,
+    build_requests,
+    build_route,
+    build_upstream,
+)
+from daisystack.testing.scripted import ScriptedServer, build_answer, send_and_close
+from daisystack.tests.on_platform.adapter import HeaderDialect
+
+MARK = "Daisystack-Mark: m\r\n"
+NOT_RUN = "Daisystack-Not-Run: 1\r\n"
+LIMIT = "Daisystack-Rate-Limit: 2.5\r\n"
+
+
+class TestValues(unittest.TestCase):
+    def test_one_decimal_number_is_read(self):
+        cases = {
+            "1.9": 1.9,
+            " 60 ": 60.0,
+            "0.2": 0.2,
+            "0": MIN_LIMIT_PER_S,
+            "0.00": MIN_LIMIT_PER_S,
+        }
+        self.assertEqual({text: parse_rate_limit(text) for text in cases}, cases)
+
+    def test_other_values_are_refused(self):
+        for text in ("", "-1", "nan", "inf", "1e9", "1, 2", "1.", ".5", "9" * 400, "1 s", "+1"):
+            with self.subTest(text), self.assertRaises(ValueError):
+                parse_rate_limit(text)
+
+    def test_header_is_read_from_answers_of_the_upstream_that_was_addressed(self):
+        def read(status, *values):
+            headers = [(b"x-attempt-id", b"r1"), (b"x-response-stamp", b"s")]
+            headers += [(b"server-limit", value) for value in values]
+            return HeaderDialect().read_answer(status, headers).rate_limit
+
+        self.assertEqual((read(200, b"1.9"), read(503, b"2"), read(200)), ("1.9", "2", None))
+        # Two values are no number; another upstream answers 421 at an address that it took over.
+        self.assertEqual((read(200, b"1", b"2"), read(421, b"1.9")), ("1, 2", None))
+
+
+class TestEvidence(unittest.TestCase):
+    def setUp(self):
+        self.limits = RateLimits()
+
+    def limit(self, started_ms=1):
+        return self.limits.limit_per_s("u1", started_ms)
+
+    def test_limit_is_learned_changes_and_ends(self):
+        learned = self.limits.record_named("u1", 1, 2.0, 10.0)
+        self.assertEqual(
+            (learned.before_per_s, learned.after_per_s, self.limit()), (None, 2.0, 2.0)
+        )
+        self.assertIsNone(self.limits.record_named("u1", 1, 2.0, 10.5))
+        self.assertEqual(self.limits.record_named("u1", 1, 3.0, 11.0).after_per_s, 3.0)
+        self.assertIsNone(self.limits.record_absent("u1", 1, 10.9))
+        self.assertEqual(self.limit(), 3.0)
+        self.assertEqual(self.limits.record_absent("u1", 1, 11.1).after_per_s, None)
+        self.assertIsNone(self.limit())
+
+    def test_new_incarnation_starts_clean(self):
+        self.limits.record_named("u1", 1, 2.0, 10.0)
+        self.assertIsNone(self.limit(started_ms=2))
+
+    def test_entry_that_was_away_does_not_bring_back_a_limit_that_has_ended(self):
+        self.limits.record_named("u1", 1, 2.0, 10.0)
+        self.limits.record_absent("u1", 1, 12.0)
+        old = LimitNews("u1", 1, 2.0, first_age_s=20.0, named_age_s=18.5)
+        self.assertEqual(self.limits.merge([old], 30.0), [])
+        self.assertIsNone(self.limit())
+        newer = LimitNews("u1", 1, 2.0, first_age_s=20.0, named_age_s=17.0)
+        self.assertEqual(len(self.limits.merge([newer], 30.0)), 1)
+        self.assertEqual(self.limits.first_named_s("u1", 1), 12.0)
+
+    def test_news_reaches_the_same_state_in_any_order(self):
+        telling = [RateLimits() for _ in range(3)]
+        telling[0].record_named("u1", 1, 2.0, 10.0)
+        telling[1].record_named("u1", 1, 4.0, 11.0)
+        telling[2].merge(telling[0].report(10.1), 10.1)
+        telling[2].record_absent("u1", 1, 10.5)
+        for order in ((0, 1, 2), (2, 1, 0), (1, 2, 0)):
+            limits = RateLimits()
+            for index in order:
+                limits.merge(telling[index].report(12.0), 12.0)
+            self.assertEqual(limits.limit_per_s("u1", 1), 4.0)
+
+    def test_records_are_bounded_and_old_news_is_dropped(self):
+        for index in range(4 * MAX_RECORDS):
+            self.limits.record_named(f"u{index}", 1, 2.0, float(index))
+        self.assertEqual(len(self.limits.limited()), MAX_RECORDS)
+        self.assertEqual(self.limits.merge([LimitNews("v", 1, 2.0, 99.0, 99.0)], 2000.0), [])
+
+
+class TestAnswers(unittest.TestCase):
+    """What is concluded from the answers that upstreams send."""
+
+    def learn(self, *heads, status="200 OK"):
+        server = ScriptedServer(
+            [send_and_close(build_answer(b"", status, head=head)) for head in heads]
+        )
+        self.addCleanup(server.close)
+        upstream = build_upstream("u1", server.address, slots=100)
+        requests = build_requests(build_policy(build_route(max_attempts=1)), [upstream])
+        for _ in heads:
+            requests.handle(build_inbound(), RecordingResponder())
+        return requests.placement.limits.limit_per_s("u1", 0)
+
+    def test_only_the_upstream_s_own_answers_to_the_request_count(self):
+        foreign = MARK + "Daisystack-Request: other\r\n"
+        self.assertEqual(self.learn(MARK + LIMIT), 2.5)
+        self.assertEqual(self.learn(NOT_RUN + LIMIT, status="503 Service Unavailable"), 2.5)
+        self.assertIsNone(self.learn(LIMIT))
+        self.assertIsNone(self.learn(foreign + LIMIT))
+
+    def test_limit_ends_by_an_answer_without_it_and_by_nothing_else(self):
+        unread = MARK + "Daisystack-Rate-Limit: 1, 2\r\n"
+        self.assertIsNone(self.learn(MARK + LIMIT, MARK))
+        for head in ("", NOT_RUN, unread, MARK + "Daisystack-Request: other\r\n"):
+            with self.subTest(head):
+                self.assertEqual(self.learn(MARK + LIMIT, head), 2.5)
+
+    def test_each_change_is_logged(self):
+        with self.assertLogs("daisystack.limits") as logs:
+            self.learn(MARK + LIMIT, MARK + LIMIT, MARK)
+        events = [record.getMessage() for record in logs.records]
+        self.assertEqual(events, ["upstream_rate_limited", "upstream_rate_limit_ended"])
+
+
+if __name__ == "__main__":
+    unittest.main()
