--- a/daisystack/tests/test_rate_limits.py
+++ b/daisystack/tests/test_rate_limits.py
@@ -9,6 +9,7 @@
     RateLimits,
     parse_rate_limit,
 )
+from daisystack.core.traffic import RequestKind
 from daisystack.testing.direct import (
     RecordingResponder,
     build_inbound,
@@ -139,5 +140,21 @@
         self.assertEqual(events, ["upstream_rate_limited", "upstream_rate_limit_ended"])
 
 
+class TestSends(unittest.TestCase):
+    # LIMIT: an entry that had passed on an upstream's limit sent it each request that arrived.
+    def test_requests_beyond_the_limit_are_refused_at_once_and_told_when_to_return(self):
+        server = ScriptedServer([send_and_close(build_answer(b"", head=MARK + LIMIT))])
+        self.addCleanup(server.close)
+        upstream = build_upstream("u1", server.address, slots=100)
+        requests = build_requests(build_policy(build_route(RequestKind.UNSAFE)), [upstream])
+        responders = [RecordingResponder() for _ in range(60)]
+        for responder in responders:
+            requests.handle(build_inbound(), responder)
+        self.assertLessEqual(server.connections, 1.5 * 4 * 2.5 + 5)
+        refused = [r for r in responders if r.status == 503]
+        self.assertEqual(len(refused), 60 - server.connections)
+        self.assertGreater(min(float(r.headers[b"Retry-After"]) for r in refused), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
