Keep the rate limit of an upstream over all entries together

What callers saw: nothing; an engine that had named a limit of N requests a second for all machines together got several times as much, and more with each entry added. Class: a bound over all instances that each keeps alone, or not at all. Ruled out: N over the number of entries for each (a share of 0.02 a second serves nobody, and each new entry or incarnation gets a first request); shares by demand (counts arrive some rounds late); the agent as the counter (plain upstreams have none, and its link or it may be silent); permits from one holder by a call per request (a round trip and a failure mode more; kept as an alternative in the postmortem). Change: a limit is dealt out as whole requests of 4 s, first to the upstream's zone and those without an upstream of its service, then to entries by rank; all others send nothing. A part counts once it has been held for a window, a paused process starts anew, the smaller part of a split zone sends nothing. Entries tell each other limits and their ends at once. A request is reserved at the choice, counted right before its first byte, and given back if it is not sent. If only the limits forbid a request it is refused at once, and callers are told to return at the rate of the limits. A limited engine's free slots don't count as free.

--- a/daisystack/core/membership.py
+++ b/daisystack/core/membership.py
@@ -196,6 +196,14 @@
         in_zone = [member.id for member in live if member.zone == self.own_zone]
         return rank_members(f"{duty}/{self.own_zone}", [self.own_id, *in_zone])
 
+    def ready_ranking(self, own: Member, duty: str, now_s: float) -> list[str]:
+        """Rank the live entries of the own zone that accept requests, this one included."""
+        live = self.live(MemberRole.ENTRY, now_s)
+        ready = [
+            m.id for m in (own, *live) if m.zone == own.zone and m.is_ready and not m.is_leaving
+        ]
+        return rank_members(duty, ready)
+
     def gossip_scope(self, peer_zone: str, now_s: float) -> list[tuple[Member, Heartbeat]]:
         """Return the entries that a peer of a zone should know, each with its heartbeat.
 
--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -13,9 +13,9 @@
 
 from daisystack.core.engine_latency import EngineLoad, predict_first_event_s, predict_service_time_s
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
-from daisystack.core.rate_limits import RateLimits
+from daisystack.core.rate_shares import RateShares
 from daisystack.core.traffic import EngineProfile
-from daisystack.core.upstream_pauses import UpstreamPauses
+from daisystack.core.upstream_pauses import Incarnation, UpstreamPauses
 
 __all__ = [
     "UNRESPONSIVE_PAUSE_S",
@@ -105,6 +105,11 @@
     has_engine: bool = False
     version: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return what tells this life of the upstream from others."""
+        return (self.id, self.started_ms)
+
 
 @frozen
 class PlacementRequirements:
@@ -137,6 +142,9 @@
     sent_s: float
     # Weight version that the upstream held, 0 for a plain one.
     version: int = 0
+    incarnation: Incarnation = ("", 0)
+    # Whether it is reserved in its upstream's rate limit and not sent yet.
+    is_reserved: bool = False
     # When the first and the latest part of its answer were received.
     first_received_s: float | None = None
     last_received_s: float | None = None
@@ -191,7 +199,7 @@
     engines: EngineStatusTable
     profiles: dict[str, EngineProfile] = field(factory=dict)
     pauses: UpstreamPauses = field(factory=UpstreamPauses)
-    limits: RateLimits = field(factory=RateLimits)
+    shares: RateShares = field(factory=RateShares)
     zone: str = ""
     _upstreams: dict[str, DirectUpstream] = field(factory=dict)
     _own_requests: dict[str, set[SentRequest]] = field(factory=dict)
@@ -230,7 +238,9 @@
         """Record a request as sent, count it as in flight and return the record."""
         upstream = self._upstreams.get(upstream_id)
         version = self.version_of(upstream, now_s) if upstream and upstream.has_engine else 0
-        sent = SentRequest(upstream_id, prompt_tokens, now_s, version)
+        incarnation = upstream.incarnation if upstream else (upstream_id, 0)
+        is_reserved = self.shares.reserve(incarnation)
+        sent = SentRequest(upstream_id, prompt_tokens, now_s, version, incarnation, is_reserved)
         self._own_requests.setdefault(upstream_id, set()).add(sent)
         if upstream is not None and upstream.has_engine:
             sent_s = self._sent_s.setdefault(upstream.service, deque())
@@ -245,6 +255,7 @@
         own.discard(sent)
         if not own:
             del self._own_requests[sent.upstream_id]
+        self._release(sent)
         if sent.last_received_s is not None:
             self._last_received_s[sent.upstream_id] = max(
                 self._get_last_received_s(sent.upstream_id), sent.last_received_s
@@ -256,6 +267,16 @@
         ]
         self._ended_requests[sent.upstream_id] = [*recent, _EndedRequest(sent.sent_s, now_s)]
 
+    def take_share(self, sent: SentRequest, now_s: float) -> bool:
+        """Count a request as sent now; return False if its upstream's rate limit forbids it."""
+        self._release(sent)
+        return self.shares.take(sent.incarnation, now_s)
+
+    def _release(self, sent: SentRequest) -> None:
+        if sent.is_reserved:
+            sent.is_reserved = False
+            self.shares.release(sent.incarnation)
+
     def own_counts(self) -> dict[str, int]:
         """Return this entry's requests in flight at each upstream, to report to other entries."""
         return {upstream_id: len(own) for upstream_id, own in self._own_requests.items()}
@@ -312,6 +333,9 @@
         The entries of a zone send at about the same rate and spread their requests evenly over its
         engines.
         """
+        limit_per_s = self.shares.limits.limit_per_s(*upstream.incarnation)
+        if limit_per_s is not None:
+            return limit_per_s * max(0.0, age_s)
         sent_s = self._sent_s.get(upstream.service)
         if not sent_s or not self._sending_entries:
             return 0.0
@@ -334,7 +358,10 @@
 
     def _count_eligible(self, service: str, eligible: Iterable[DirectUpstream]) -> None:
         """Count by zone the engines to which requests for a service go now."""
-        self._eligible_counts[service] = Counter(u.zone for u in eligible if u.has_engine)
+        limited = self.shares.limits.limited()
+        self._eligible_counts[service] = Counter(
+            u.zone for u in eligible if u.has_engine and u.incarnation not in limited
+        )
 
     def predict_first_event_s(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
@@ -412,10 +439,14 @@
         self, requirements: PlacementRequirements, now_s: float
     ) -> Refusal:
         incarnations = [
-            (u.id, u.started_ms)
+            u.incarnation
             for u in self._upstreams.values()
             if u.service == requirements.service and u.is_ready
         ]
+        limited = [key for key in incarnations if not self.shares.may_send(key, now_s)]
+        if limited:
+            return_s = self.shares.plan_return_s(requirements.service, limited, now_s)
+            return Refusal("the rate limits of the upstreams are used up", False, return_s)
         end_s = self.pauses.next_end_s(incarnations, now_s)
         if end_s is None:
             return Refusal("no upstream is there for it", False)
@@ -430,6 +461,8 @@
             return False
         if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
             return False
+        if not self.shares.may_send(upstream.incarnation, now_s):
+            return False
         if not upstream.has_engine:
             return True
         status = self.engines.get(upstream.address, now_s)
--- a/daisystack/core/rate_limits.py
+++ b/daisystack/core/rate_limits.py
@@ -7,9 +7,11 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.upstream_pauses import Incarnation
+
 __all__ = [
+    "MAX_LIMIT_PER_S",
     "MIN_LIMIT_PER_S",
-    "Incarnation",
     "LimitChange",
     "LimitNews",
     "RateLimits",
@@ -18,6 +20,7 @@
 
 # Some request must still show that the limit has ended.
 MIN_LIMIT_PER_S = 0.05
+MAX_LIMIT_PER_S = 1_000_000.0
 # Older news may tell of a limit whose end the receiver has forgotten.
 MAX_NEWS_AGE_S = 60.0
 FORGET_AFTER_S = 600.0
@@ -25,8 +28,6 @@
 
 _PER_S = re.compile(r"\d{1,6}(\.\d{1,9})?")
 
-Incarnation = tuple[str, int]
-
 
 def parse_rate_limit(text: str) -> float:
     """Return requests per second, at least MIN_LIMIT_PER_S; raise ValueError."""
--- a/daisystack/core/upstream_pauses.py
+++ b/daisystack/core/upstream_pauses.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-__all__ = ["MAX_PAUSE_S", "UpstreamPauses", "parse_pause_s"]
+__all__ = ["MAX_PAUSE_S", "Incarnation", "UpstreamPauses", "parse_pause_s"]
 
 # A longer pause would outlast the upstream's incarnation on most days.
 MAX_PAUSE_S = 60.0
@@ -18,6 +18,7 @@
 
 _SECONDS = re.compile(r"\d{1,9}(\.\d{1,9})?")
 
+# The id of an upstream and when it started, in milliseconds.
 Incarnation = tuple[str, int]
 
 
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -49,6 +49,8 @@
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its upstream accepts no more requests")
         if self._must_withdraw(at_s):
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its version ends before it can begin")
+        if not self.placement.take_share(self.sent, at_s):
+            raise AttemptFailed(AttemptEnd.NOT_SENT, "its upstream's rate limit is used up")
 
     def check_wait(self) -> None:
         """Raise AttemptFailed if the attempt must end before its answer is complete."""
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -38,6 +38,7 @@
 from daisystack.runtime.peer_link import serve_peers
 from daisystack.runtime.piece_task import PieceTask
 from daisystack.runtime.published import PublishedState
+from daisystack.runtime.rate_limit_watch import RateLimitWatch
 from daisystack.runtime.stopping import wait_for_stop
 
 __all__ = ["DirectEntry"]
@@ -100,6 +101,7 @@
         self.published.on_target.append(self.pieces.start_share_pull)
         self.mesh.on_target.append(self.pieces.start_share_pull)
         self.requests = self._build_requests(crashes)
+        self._connect_rate_limits(self.requests.rate_limits)
         address = parse_address(self.settings.caller_address)
         self.server = CallerServer(
             address, self.requests.handle, self._limits, lambda: self.is_leaving
@@ -131,6 +133,19 @@
             targets=self.published.targets,
         )
 
+    def _connect_rate_limits(self, watch: RateLimitWatch) -> None:
+        watch.on_news = self._spread_limits
+        self.mesh.known_limits = watch.limits.report
+        self.mesh.on_limits = watch.apply_reported
+        self.mesh.on_round = self._refresh_shares
+
+    def _spread_limits(self) -> None:
+        self._refresh_shares(now_s())
+        self.mesh.exchange_news()
+
+    def _refresh_shares(self, at_s: float) -> None:
+        self.requests.rate_limits.refresh(self.mesh.own, self.mesh.membership, at_s)
+
     def _build_pieces(self) -> PieceTask:
         return PieceTask(
             lambda: self.mesh.own,
@@ -353,7 +368,7 @@
                     limit_per_s,
                     {"upstream": upstream_id},
                 )
-                for (upstream_id, _), limit_per_s in self.placement.limits.limited().items()
+                for (upstream_id, _), limit_per_s in self.placement.shares.limits.limited().items()
             ),
         ]
 
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -20,7 +20,6 @@
     Refusal,
     SentRequest,
 )
-from daisystack.core.rate_limits import parse_rate_limit
 from daisystack.core.requests import (
     AttemptOutcome,
     Done,
@@ -48,7 +47,7 @@
 )
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.published import PublishedState
-from daisystack.runtime.rate_limit_log import ANSWER_SOURCE, log_limit_change
+from daisystack.runtime.rate_limit_watch import RateLimitWatch
 from daisystack.runtime.request_summary import RequestSummary
 
 __all__ = ["DirectRequests", "DirectRequestSettings"]
@@ -126,11 +125,13 @@
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
     on_expired_start: Callable[[ExpiredVersionStarted], None] = lambda event: None
+    rate_limits: RateLimitWatch = field(init=False)
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
     _rng: random.Random = field(factory=random.SystemRandom)
 
     def __attrs_post_init__(self) -> None:
+        self.rate_limits = RateLimitWatch(self.placement)
         settings = self.settings
         self._budgets = ServiceBudgets(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
@@ -403,26 +404,7 @@
         answer: DirectAnswer,
     ) -> None:
         self._record_notices(upstream, answer)
-        if answer.is_from_upstream(request.id):
-            self._record_rate_limit(upstream, sent, answer)
-
-    def _record_rate_limit(
-        self, upstream: DirectUpstream, sent: SentRequest, answer: DirectAnswer
-    ) -> None:
-        limits = self.placement.limits
-        if answer.rate_limit is None:
-            # A refusal may be written without regard to the limit.
-            if not answer.was_not_run:
-                change = limits.record_absent(upstream.id, upstream.started_ms, sent.sent_s)
-                log_limit_change(change, ANSWER_SOURCE)
-            return
-        try:
-            limit_per_s = parse_rate_limit(answer.rate_limit)
-        except ValueError as error:
-            log_event(_logger, UpstreamNoticeIgnored(upstream.id, f"rate limit: {error}"))
-            return
-        change = limits.record_named(upstream.id, upstream.started_ms, limit_per_s, now_s())
-        log_limit_change(change, ANSWER_SOURCE)
+        self.rate_limits.record_answer(request.id, upstream, sent, answer)
 
     def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
         """Record what an upstream says of itself in the head of a response."""
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -16,6 +16,7 @@
 from daisystack.core.gossip_peers import choose_push_peers, choose_round_peers
 from daisystack.core.membership import Heartbeat, Member, MemberRole, Membership
 from daisystack.core.mirror import Mirror
+from daisystack.core.rate_limits import LimitNews
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import CopySlow, PeerHeard, PeerSilent, TargetTold
@@ -70,6 +71,12 @@
     )
     known_parts: Callable[[float], tuple[PartEvidence, ...]] = lambda at_s: ()
     on_parts: Callable[[tuple[PartEvidence, ...], float], None] = lambda parts, at_s: None
+    known_limits: Callable[[float], tuple[LimitNews, ...]] = lambda at_s: ()
+    on_limits: Callable[[tuple[LimitNews, ...], str, float], None] = (
+        lambda limits, sender_id, at_s: None
+    )
+    # Called in each round with the present time.
+    on_round: Callable[[float], None] = lambda at_s: None
     engines: EngineStatusTable = field(factory=EngineStatusTable)
     targets: Targets = field(factory=Targets)
     open_link: Callable[[str, float], PeerLink] = mesh_link
@@ -143,6 +150,7 @@
             # Agents order the loads of their zone's engines among themselves.
             statuses = self.engines.recent_direct(at_s)
             answer.engines = [mesh.engine_to_wire(status, at_s) for status in statuses]
+            answer.rate_limits = []
         return answer
 
     def _build_news(self, at_s: float, heartbeats: list[Heartbeat]) -> ttypes.MeshNews:
@@ -179,6 +187,7 @@
             heartbeats=mesh.heartbeats_to_wire(heartbeats),
             zones=self._build_zone_sizes(at_s),
             parts=[mesh.part_to_wire(evidence) for evidence in self.known_parts(at_s)],
+            rate_limits=[mesh.limit_to_wire(news) for news in self.known_limits(at_s)],
         )
 
     def _build_zone_sizes(self, at_s: float) -> list[ttypes.ZoneSize]:
@@ -202,6 +211,7 @@
             # Absent in the news of an earlier release.
             heartbeats = mesh.heartbeats_from_wire(news.heartbeats or b"")
             parts = tuple(mesh.part_from_wire(wire) for wire in news.parts or ())
+            limits = tuple(mesh.limit_from_wire(wire) for wire in news.rate_limits or ())
         except ValueError as error:
             log_event(_logger, PeerSilent(news.sender.peer_address, f"can't decode news: {error}"))
             return
@@ -224,6 +234,8 @@
             self.on_crash_counts(tuple(counts), at_s)
         if parts:
             self.on_parts(parts, at_s)
+        if limits:
+            self.on_limits(limits, sender.id, at_s)
         for reported in news.targets:
             learned_s = LONG_AGO_S if reported.age_ms < 0 else at_s - reported.age_ms / MS_PER_S
             target = WeightTarget(reported.model, reported.version)
@@ -287,6 +299,7 @@
         self._compensate_pause(now_s())
         self._rounds += 1
         at_s = now_s()
+        self.on_round(at_s)
         peers = choose_round_peers(self.own, self.membership, self._rounds, random, at_s)
         self._exchange_with_all(self._add_seed({m.peer_address: m.zone for m in peers}))
         eventlet.sleep(ROUND_INTERVAL_S * random.uniform(0.85, 1.15))
--- a/daisystack/testing/limit_fleet.py
+++ b/daisystack/testing/limit_fleet.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from daisystack.core.engine_status import EngineStatusTable
+from daisystack.core.membership import Membership
 from daisystack.core.placement import (
     DirectUpstream,
     Placement,
@@ -15,6 +16,7 @@
     Refusal,
     SentRequest,
 )
+from daisystack.runtime.rate_limit_watch import RateLimitWatch
 from daisystack.testing.gossip import GossipFleet, SimulatedEntry
 
 __all__ = ["WINDOW_S", "Arrival", "LimitFleet"]
@@ -54,19 +56,24 @@
     arrivals: list[Arrival] = field(factory=list)
     refused: int = 0
     placements: dict[str, Placement] = field(factory=dict)
+    watches: dict[str, RateLimitWatch] = field(factory=dict)
     told_s: dict[str, float] = field(factory=dict)
     _work: random.Random = field(init=False)
     _pushed_s: dict[str, float] = field(factory=dict)
+    _callers: SimulatedEntry = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         super().__attrs_post_init__()
         self._work = random.Random(self.seed + 1000)
-        self._schedule(0.0, self._anchor(), self._arrive)
+        # Callers outlive the entries.
+        callers = next(iter(self.entries.values())).own
+        self._callers = SimulatedEntry(callers, Membership(callers.id, callers.zone))
+        self._schedule(0.0, self._callers, self._arrive)
 
     def restart(self, entry_id: str) -> None:
         """Start a new incarnation that knows neither the other entries nor a limit."""
         super().restart(entry_id)
-        self.placements[entry_id] = self._build_placement(self.entries[entry_id].own.zone)
+        self._start(self.entries[entry_id])
         self.told_s.pop(entry_id, None)
 
     def add(self, zone: str) -> str:
@@ -96,18 +103,37 @@
 
     def _add(self, entry_id: str, zone: str) -> None:
         super()._add(entry_id, zone)
-        self.placements[entry_id] = self._build_placement(zone)
+        self._start(self.entries[entry_id])
+
+    def _start(self, entry: SimulatedEntry) -> None:
+        placement = self._build_placement(entry.own.zone)
+        watch = RateLimitWatch(placement, lambda: self._spread(entry))
+        self.placements[entry.own.id], self.watches[entry.own.id] = placement, watch
+
+    def _spread(self, entry: SimulatedEntry) -> None:
+        self._refresh(entry)
+        self._push_soon(entry)
+
+    def _refresh(self, entry: SimulatedEntry) -> None:
+        self.watches[entry.own.id].refresh(entry.own, entry.membership, self.now_s)
+
+    def _round(self, entry: SimulatedEntry) -> None:
+        if self.now_s >= entry.paused_until_s:
+            self._refresh(entry)
+        super()._round(entry)
+
+    def _receive(self, receiver, sender, members, heartbeats) -> None:
+        super()._receive(receiver, sender, members, heartbeats)
+        known = self.placements[sender.own.id].shares.limits.report(self.now_s)
+        self.watches[receiver.own.id].apply_reported(known, sender.own.id, self.now_s)
 
     def _build_placement(self, zone: str) -> Placement:
         placement = Placement(random.Random(self.seed), EngineStatusTable(), zone=zone)
         placement.update_upstream(DirectUpstream("u1", SERVICE, "u1:1", "z0", SLOTS, True, 1))
         return placement
 
-    def _anchor(self) -> SimulatedEntry:
-        return next(entry for entry in self.entries.values() if not entry.is_dead)
-
-    def _arrive(self, anchor: SimulatedEntry) -> None:
-        self._schedule(self._work.expovariate(self.demand_per_s), self._anchor(), self._arrive)
+    def _arrive(self, callers: SimulatedEntry) -> None:
+        self._schedule(self._work.expovariate(self.demand_per_s), callers, self._arrive)
         able = [e for e in self.entries.values() if not e.is_dead]
         entry = self.entries[self.busy_entry] if self.busy_entry else self._work.choice(able)
         if entry.is_dead or self.now_s < entry.paused_until_s:
@@ -127,7 +153,9 @@
             self._schedule(delay_s, entry, lambda e: self._send(e, upstream, sent))
             return
         placement = self.placements[entry.own.id]
-        if not placement.may_send(upstream, self.now_s):
+        if not placement.may_send(upstream, self.now_s) or not placement.take_share(
+            sent, self.now_s
+        ):
             placement.end(sent, self.now_s)
             return
         told_s = self.told_s.get(entry.own.id, float("inf"))
@@ -145,11 +173,11 @@
         placement.end(sent, self.now_s)
         if is_limited:
             self.told_s.setdefault(entry.own.id, self.now_s)
-            change = placement.limits.record_named("u1", 1, self.limit_per_s, self.now_s)
+            change = placement.shares.limits.record_named("u1", 1, self.limit_per_s, self.now_s)
         else:
-            change = placement.limits.record_absent("u1", 1, sent.sent_s)
+            change = placement.shares.limits.record_absent("u1", 1, sent.sent_s)
         if change is not None:
-            self._push_soon(entry)
+            self._spread(entry)
 
     def _push_soon(self, entry: SimulatedEntry) -> None:
         wait_s = max(0.0, self._pushed_s.get(entry.own.id, -1.0) + MIN_PUSH_INTERVAL_S - self.now_s)
--- a/daisystack/tests/test_rate_limits.py
+++ b/daisystack/tests/test_rate_limits.py
@@ -9,7 +9,14 @@
     RateLimits,
     parse_rate_limit,
 )
+from daisystack.core.rate_shares import (
+    LimitedUpstream,
+    RateShares,
+    ZoneView,
+    compute_rate_per_s,
+)
 from daisystack.core.traffic import RequestKind
+from daisystack.runtime.clock import now_s
 from daisystack.testing.direct import (
     RecordingResponder,
     build_inbound,
@@ -115,9 +122,15 @@
         self.addCleanup(server.close)
         upstream = build_upstream("u1", server.address, slots=100)
         requests = build_requests(build_policy(build_route(max_attempts=1)), [upstream])
+        shares = requests.placement.shares
+        start_s = now_s()
+        for step in range(6):
+            # As if this entry had known all others for longer than a window.
+            shares.refresh(lambda key, limit_per_s: 100.0, 1, start_s - 5 + step)
         for _ in heads:
             requests.handle(build_inbound(), RecordingResponder())
-        return requests.placement.limits.limit_per_s("u1", 0)
+            shares.refresh(lambda key, limit_per_s: 100.0, 1, now_s())
+        return requests.placement.shares.limits.limit_per_s("u1", 0)
 
     def test_only_the_upstream_s_own_answers_to_the_request_count(self):
         foreign = MARK + "Daisystack-Request: other\r\n"
@@ -140,6 +153,123 @@
         self.assertEqual(events, ["upstream_rate_limited", "upstream_rate_limit_ended"])
 
 
+class TestShares(unittest.TestCase):
+    """What one entry sends of a limit of 2 a second that it holds alone or with others."""
+
+    KEY = ("u1", 1)
+
+    def setUp(self):
+        self.shares = RateShares()
+        self.rate_per_s = 2.0
+        self.now_s = 0.0
+        self.run_for(6.0)
+        self.shares.limits.record_named(*self.KEY, 2.0, self.now_s)
+        self.run_for(0.4)
+
+    def run_for(self, duration_s):
+        for _ in range(round(duration_s / 0.4)):
+            self.now_s += 0.4
+            self.shares.refresh(lambda key, limit_per_s: self.rate_per_s, 1, self.now_s)
+
+    def send_all(self):
+        sent = 0
+        while self.shares.take(self.KEY, self.now_s):
+            sent += 1
+        return sent
+
+    def test_limit_is_used_evenly_over_a_window(self):
+        sent = []
+        for _ in range(40):
+            sent.append(self.send_all())
+            self.run_for(0.4)
+        self.assertEqual(sent[0], 2)
+        self.assertLessEqual(max(sum(sent[i : i + 10]) for i in range(30)), 8)
+        self.assertGreaterEqual(sum(sent), 0.8 * 16 * 2.0)
+
+    def test_share_that_grows_counts_once_it_has_been_held_for_a_window(self):
+        self.rate_per_s = 0.0
+        self.run_for(0.8)
+        self.rate_per_s = 2.0
+        self.run_for(3.6)
+        self.assertEqual(self.send_all(), 0)
+        self.run_for(0.8)
+        self.assertEqual(self.send_all(), 2)
+
+    def test_paused_process_sends_nothing_until_it_has_held_its_share_again(self):
+        self.now_s += 3.0
+        self.assertEqual(self.send_all(), 0)
+        self.run_for(3.6)
+        self.assertEqual(self.send_all(), 0)
+        self.run_for(0.8)
+        self.assertEqual(self.send_all(), 2)
+
+    def test_limit_of_a_process_that_has_just_started_is_held_back(self):
+        shares = RateShares()
+        shares.limits.record_named(*self.KEY, 2.0, 1.0)
+        for step in range(11):
+            self.assertFalse(shares.take(self.KEY, 1.0 + 0.4 * step))
+            shares.refresh(lambda key, limit_per_s: 2.0, 1, 1.0 + 0.4 * step)
+        self.assertTrue(shares.take(self.KEY, 5.0))
+
+    def test_requests_sent_before_the_limit_was_known_count(self):
+        shares = self.shares
+        other = ("u2", 1)
+        for _ in range(20):
+            shares.take(other, self.now_s)
+        shares.limits.record_named(*other, 2.0, self.now_s)
+        self.run_for(0.4)
+        self.assertFalse(shares.may_send(other, self.now_s))
+        self.run_for(4.0)
+        self.assertTrue(shares.may_send(other, self.now_s))
+
+    def test_reserved_request_that_is_not_sent_gives_its_share_back(self):
+        self.assertTrue(self.shares.reserve(self.KEY) and self.shares.reserve(self.KEY))
+        self.assertFalse(self.shares.may_send(self.KEY, self.now_s))
+        self.shares.release(self.KEY)
+        self.assertTrue(self.shares.may_send(self.KEY, self.now_s))
+
+    def test_refused_callers_return_at_the_rate_of_the_limits(self):
+        waits_s = [self.shares.plan_return_s("s", [self.KEY], self.now_s) for _ in range(4)]
+        self.assertEqual([round(wait_s, 6) for wait_s in waits_s], [0.5, 1.0, 1.5, 2.0])
+
+
+class TestParts(unittest.TestCase):
+    """How a limit is dealt out to zones and entries."""
+
+    def parts(self, limit_per_s, sizes, upstream_zone="a", served=(), live=None):
+        upstream = LimitedUpstream("u1", upstream_zone, limit_per_s, frozenset(served))
+        parts = {}
+        for zone, size in sizes.items():
+            ranked = tuple(f"{zone}{i}" for i in range(live if live is not None else size))
+            for own_id in ranked:
+                view = ZoneView(size, ranked)
+                parts[own_id] = compute_rate_per_s(upstream, sizes, zone, own_id, view)
+        return parts
+
+    def test_parts_add_up_to_whole_requests_of_a_window(self):
+        sizes = {"a": 33, "b": 40, "c": 26}
+        for limit_per_s, total_per_s in ((0.2, 0.2), (1.0, 1.0), (1.9, 1.75), (60.0, 60.0)):
+            for served in ((), ("a",), ("a", "b", "c")):
+                parts = self.parts(limit_per_s, sizes, served=served)
+                self.assertAlmostEqual(sum(parts.values()), total_per_s)
+
+    def test_zone_of_the_upstream_holds_all_unless_others_have_none_of_its_service(self):
+        sizes = {"a": 3, "b": 3, "c": 3}
+        by_zone = {}
+        for served in (("a", "b", "c"), ("a", "b")):
+            parts = self.parts(6.0, sizes, served=served)
+            by_zone[served] = [sum(parts[f"{zone}{i}"] for i in range(3)) for zone in sizes]
+        self.assertEqual(list(by_zone.values()), [[6.0, 0.0, 0.0], [3.0, 0.0, 3.0]])
+
+    def test_upstream_without_entries_in_its_zone_is_used_by_one_other_zone(self):
+        parts = self.parts(2.0, {"b": 4, "c": 4}, served=("a", "b", "c"))
+        self.assertEqual(sorted(parts.values()), [0.0] * 4 + [0.5] * 4)
+
+    def test_smaller_half_of_a_zone_sends_nothing(self):
+        self.assertEqual(set(self.parts(2.0, {"a": 5}, live=2).values()), {0.0})
+        self.assertEqual(sum(self.parts(2.0, {"a": 5}, live=3).values()), 1.5)
+
+
 class TestSends(unittest.TestCase):
     # LIMIT: an entry that had passed on an upstream's limit sent it each request that arrived.
     def test_requests_beyond_the_limit_are_refused_at_once_and_told_when_to_return(self):
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -822,10 +822,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readI64()
-                        self.held.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI64()
+                        self.held.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -859,8 +859,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.held))
-            for iter90 in self.held:
-                oprot.writeI64(iter90)
+            for iter97 in self.held:
+                oprot.writeI64(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepts_packed is not None:
@@ -1065,10 +1065,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.success.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1085,8 +1085,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRING, len(self.success))
-            for iter97 in self.success:
-                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
+            for iter104 in self.success:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/daisystack/wire/gen/ttypes.py
+++ b/daisystack/wire/gen/ttypes.py
@@ -1505,6 +1505,118 @@
         return not (self == other)
 
 
+class RateLimitNews(object):
+    """
+    Attributes:
+     - upstream_id
+     - started_ms
+     - limit_per_s
+     - first_age_ms
+     - named_age_ms
+     - absent_age_ms
+
+    """
+
+
+    def __init__(self, upstream_id=None, started_ms=None, limit_per_s=None, first_age_ms=None, named_age_ms=None, absent_age_ms=None,):
+        self.upstream_id = upstream_id
+        self.started_ms = started_ms
+        self.limit_per_s = limit_per_s
+        self.first_age_ms = first_age_ms
+        self.named_age_ms = named_age_ms
+        self.absent_age_ms = absent_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.first_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.named_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.absent_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimitNews')
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 1)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.first_age_ms is not None:
+            oprot.writeFieldBegin('first_age_ms', TType.I32, 4)
+            oprot.writeI32(self.first_age_ms)
+            oprot.writeFieldEnd()
+        if self.named_age_ms is not None:
+            oprot.writeFieldBegin('named_age_ms', TType.I32, 5)
+            oprot.writeI32(self.named_age_ms)
+            oprot.writeFieldEnd()
+        if self.absent_age_ms is not None:
+            oprot.writeFieldBegin('absent_age_ms', TType.I32, 6)
+            oprot.writeI32(self.absent_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MeshNews(object):
     """
     Attributes:
@@ -1518,11 +1630,12 @@
      - heartbeats
      - zones
      - parts
+     - rate_limits
 
     """
 
 
-    def __init__(self, sender=None, members=None, mirrors=None, in_flight=None, engines=None, crash_counts=None, targets=None, heartbeats=None, zones=None, parts=None,):
+    def __init__(self, sender=None, members=None, mirrors=None, in_flight=None, engines=None, crash_counts=None, targets=None, heartbeats=None, zones=None, parts=None, rate_limits=None,):
         self.sender = sender
         self.members = members
         self.mirrors = mirrors
@@ -1533,6 +1646,7 @@
         self.heartbeats = heartbeats
         self.zones = zones
         self.parts = parts
+        self.rate_limits = rate_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1642,6 +1756,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.rate_limits = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = RateLimitNews()
+                        _elem67.read(iprot)
+                        self.rate_limits.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1659,43 +1784,43 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter62 in self.members:
-                iter62.write(oprot)
+            for iter68 in self.members:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.mirrors is not None:
             oprot.writeFieldBegin('mirrors', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.mirrors))
-            for iter63 in self.mirrors:
-                iter63.write(oprot)
+            for iter69 in self.mirrors:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.in_flight))
-            for iter64 in self.in_flight:
-                iter64.write(oprot)
+            for iter70 in self.in_flight:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter65 in self.engines:
-                iter65.write(oprot)
+            for iter71 in self.engines:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crash_counts is not None:
             oprot.writeFieldBegin('crash_counts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crash_counts))
-            for iter66 in self.crash_counts:
-                iter66.write(oprot)
+            for iter72 in self.crash_counts:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter67 in self.targets:
-                iter67.write(oprot)
+            for iter73 in self.targets:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
@@ -1705,15 +1830,22 @@
         if self.zones is not None:
             oprot.writeFieldBegin('zones', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.zones))
-            for iter68 in self.zones:
-                iter68.write(oprot)
+            for iter74 in self.zones:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter69 in self.parts:
-                iter69.write(oprot)
+            for iter75 in self.parts:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rate_limits is not None:
+            oprot.writeFieldBegin('rate_limits', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.rate_limits))
+            for iter76 in self.rate_limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1761,11 +1893,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = EngineNews()
-                        _elem75.read(iprot)
-                        self.engines.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = EngineNews()
+                        _elem82.read(iprot)
+                        self.engines.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1792,8 +1924,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter76 in self.engines:
-                iter76.write(oprot)
+            for iter83 in self.engines:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.direct is not None:
@@ -1969,11 +2101,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = MirrorItem()
-                        _elem82.read(iprot)
-                        self.items.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = MirrorItem()
+                        _elem89.read(iprot)
+                        self.items.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2007,8 +2139,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter83 in self.items:
-                iter83.write(oprot)
+            for iter90 in self.items:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2353,6 +2485,16 @@
     (3, TType.STRING, 'crashes', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'held', None, None, ),  # 4
 )
+all_structs.append(RateLimitNews)
+RateLimitNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (4, TType.I32, 'first_age_ms', None, None, ),  # 4
+    (5, TType.I32, 'named_age_ms', None, None, ),  # 5
+    (6, TType.I32, 'absent_age_ms', None, None, ),  # 6
+)
 all_structs.append(MeshNews)
 MeshNews.thrift_spec = (
     None,  # 0
@@ -2366,6 +2508,7 @@
     (8, TType.STRING, 'heartbeats', 'BINARY', None, ),  # 8
     (9, TType.LIST, 'zones', (TType.STRUCT, [ZoneSize, None], False), None, ),  # 9
     (10, TType.LIST, 'parts', (TType.STRUCT, [PartNews, None], False), None, ),  # 10
+    (11, TType.LIST, 'rate_limits', (TType.STRUCT, [RateLimitNews, None], False), None, ),  # 11
 )
 all_structs.append(EngineReports)
 EngineReports.thrift_spec = (
--- a/daisystack/wire/mesh.py
+++ b/daisystack/wire/mesh.py
@@ -13,6 +13,7 @@
 from daisystack.core.engine_status import EngineStatus
 from daisystack.core.membership import Heartbeat, Member, MemberRole
 from daisystack.core.mirror import Change, Delta
+from daisystack.core.rate_limits import MAX_LIMIT_PER_S, MIN_LIMIT_PER_S, LimitNews
 from daisystack.wire.gen import ttypes
 
 __all__ = [
@@ -24,6 +25,8 @@
     "engine_to_wire",
     "heartbeats_from_wire",
     "heartbeats_to_wire",
+    "limit_from_wire",
+    "limit_to_wire",
     "member_from_wire",
     "member_to_wire",
     "part_from_wire",
@@ -140,6 +143,37 @@
     return PartEvidence(wire.part, wire.sound, wire.held, crashes)
 
 
+def limit_to_wire(news: LimitNews) -> ttypes.RateLimitNews:
+    """Return the thrift message of what is known of an upstream's rate limit."""
+    return ttypes.RateLimitNews(
+        news.upstream_id,
+        news.started_ms,
+        news.limit_per_s,
+        age_to_ms(news.first_age_s),
+        age_to_ms(news.named_age_s),
+        -1 if news.absent_age_s == float("inf") else age_to_ms(news.absent_age_s),
+    )
+
+
+def limit_from_wire(wire: ttypes.RateLimitNews) -> LimitNews:
+    """Return what a thrift message tells of a rate limit; raise ValueError if it is none."""
+    # Written so that it is false for nan.
+    if not MIN_LIMIT_PER_S <= wire.limit_per_s <= MAX_LIMIT_PER_S:
+        raise ValueError(
+            f"got a limit of {wire.limit_per_s} a second, "
+            f"allowed are {MIN_LIMIT_PER_S} to {MAX_LIMIT_PER_S}"
+        )
+    absent_age_s = wire.absent_age_ms / MS_PER_S if wire.absent_age_ms >= 0 else float("inf")
+    return LimitNews(
+        wire.upstream_id,
+        wire.started_ms,
+        wire.limit_per_s,
+        wire.first_age_ms / MS_PER_S,
+        wire.named_age_ms / MS_PER_S,
+        absent_age_s,
+    )
+
+
 def _age_to_cs(age_s: float) -> int:
     return min(MAX_AGE_CS, math.ceil(max(0.0, age_s) * CS_PER_S))
 
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -135,6 +135,18 @@
   4: bool held
 }
 
+// A limit that an upstream named for the requests of all entries together; ages are times since the
+// first and the last answer that named it, and since a request was sent whose answer named none (-1:
+// never).
+struct RateLimitNews {
+  1: string upstream_id
+  2: i64 started_ms
+  3: double limit_per_s
+  4: i32 first_age_ms
+  5: i32 named_age_ms
+  6: i32 absent_age_ms
+}
+
 struct MeshNews {
   1: MemberState sender
   // Members that the receiver of an answer lacks, going by the heartbeats in its request.
@@ -148,6 +160,7 @@
   8: binary heartbeats
   9: list<ZoneSize> zones
   10: list<PartNews> parts
+  11: list<RateLimitNews> rate_limits
 }
 
 // Datagram with engine statuses.
