Believe notices only from answers that are the upstream's own

Cause: the head of an answer was searched for notices before it was checked whose answer it is. Class: trust before check. Ruled out: asking for an answer without unproven claims (a marked 503 without the proof still says what its upstream wants).

--- a/daisystack/core/direct_request.py
+++ b/daisystack/core/direct_request.py
@@ -47,8 +47,8 @@
 class DirectAnswer:
     """Status and headers of an upstream's answer.
 
-    was_not_run is reported by the upstream itself. is_genuine means that the answer carries the
-    upstream's mark.
+    was_not_run is reported by the upstream itself. is_marked means that the answer carries the
+    upstream's mark, is_genuine that it also makes no claim that it doesn't prove.
     """
 
     status: int
@@ -63,9 +63,10 @@
     # How long the upstream wants no requests from this instance, as it wrote it.
     retry_after: str | None
     headers: tuple[tuple[bytes, bytes], ...]
+    is_marked: bool = False
     # How many requests per second the upstream takes from all instances, as it wrote it.
     rate_limit: str | None = None
 
     def is_from_upstream(self, request_id: str) -> bool:
         """Return whether the upstream that was addressed wrote this answer to a request."""
-        return self.request_id == request_id and (self.is_genuine or self.was_not_run)
+        return self.request_id == request_id and (self.is_marked or self.was_not_run)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -403,8 +403,9 @@
         sent: SentRequest,
         answer: DirectAnswer,
     ) -> None:
-        self._record_notices(upstream, answer)
-        self.rate_limits.record_answer(request.id, upstream, sent, answer)
+        if answer.is_from_upstream(request.id):
+            self._record_notices(upstream, answer)
+            self.rate_limits.record_answer(upstream, sent, answer)
 
     def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
         """Record what an upstream says of itself in the head of a response."""
--- a/daisystack/runtime/rate_limit_watch.py
+++ b/daisystack/runtime/rate_limit_watch.py
@@ -43,14 +43,12 @@
         return self.placement.shares.limits
 
     def record_answer(
-        self, request_id: str, upstream: DirectUpstream, sent: SentRequest, answer: DirectAnswer
+        self, upstream: DirectUpstream, sent: SentRequest, answer: DirectAnswer
     ) -> None:
         """Record the limit that the head of an answer names, or that it names none."""
-        if not answer.is_from_upstream(request_id):
-            return
         if answer.rate_limit is None:
             # A refusal may be written without regard to the limit.
-            if not answer.was_not_run:
+            if answer.is_genuine:
                 change = self.limits.record_absent(upstream.id, upstream.started_ms, sent.sent_s)
                 self._report(change, ANSWER_SOURCE)
             return
--- a/daisystack/testing/direct.py
+++ b/daisystack/testing/direct.py
@@ -98,6 +98,7 @@
             is_leaving=LEAVING in fields,
             retry_after=fields[RETRY_AFTER].decode() if RETRY_AFTER in fields else None,
             headers=tuple(h for h in headers if h[0] == MARK),
+            is_marked=MARK in fields,
             rate_limit=fields[RATE_LIMIT].decode() if RATE_LIMIT in fields else None,
         )
 
--- a/daisystack/tests/test_upstream_pauses.py
+++ b/daisystack/tests/test_upstream_pauses.py
@@ -7,6 +7,7 @@
 from daisystack.core.placement import DirectUpstream, Placement, PlacementRequirements, Refusal
 from daisystack.core.traffic import RequestKind
 from daisystack.core.upstream_pauses import MAX_PAUSE_S, UpstreamPauses, parse_pause_s
+from daisystack.runtime.clock import now_s
 from daisystack.testing.direct import (
     RecordingResponder,
     build_inbound,
@@ -148,6 +149,22 @@
         self.assertGreater(float(responders[2].headers[b"Retry-After"]), 4.0)
         self.assertEqual(servers[0].connections, 1)
 
+    # DRAIN: bytes that were no answer of the upstream took it out of use, or paused it.
+    def test_notices_in_an_answer_that_is_not_the_upstream_s_own_are_ignored(self):
+        heads = {
+            "another request": MARK + "Daisystack-Request: other\r\n",
+            "unmarked": "",
+        }
+        for name, head in heads.items():
+            for notice in ("Daisystack-Leaving: 1\r\n", "Daisystack-Retry-After: 5\r\n"):
+                answer = send_and_close(build_answer(b"", "503 Service Unavailable", head + notice))
+                _, requests = self.build([answer])
+                self.send(requests)
+                with self.subTest((name, notice)):
+                    pauses = requests.placement.pauses
+                    self.assertFalse(pauses.is_leaving("u0", 0))
+                    self.assertFalse(pauses.is_blocked("u0", 0, now_s()))
+
     def test_a_value_that_is_no_number_is_logged_and_ignored(self):
         servers, requests = self.build([shed("soon")])
         with self.assertLogs("daisystack.requests") as logs:
