Let upstreams of the soak name rate limits, and hold entries to them

Ruled out: a fault of short duration, a limit is kept from 3 s after it was first named. Conclusion: the class is covered by our own runs.

--- a/daisystack/tests/on_platform/planted.py
+++ b/daisystack/tests/on_platform/planted.py
@@ -18,6 +18,7 @@
 # isort: split
 import documents  # noqa: E402
 from daisystack.core.mirror import Mirror  # noqa: E402
+from daisystack.core.rate_limits import RateLimits  # noqa: E402
 from daisystack.core.requests import RequestState  # noqa: E402
 from daisystack.core.upstream_pauses import UpstreamPauses  # noqa: E402
 from daisystack.tests.on_platform.soak_site import PLANTED_VARIABLE  # noqa: E402
@@ -47,10 +48,16 @@
     UpstreamPauses.record_leaving = lambda self, upstream_id, started_ms, now_s: False
 
 
+def plant_lost_limit() -> None:
+    """Ignore the limits that upstreams name."""
+    RateLimits._merge = lambda self, news, now_s: None
+
+
 PLANT_BY_NAME = {
     "retry-after-send": plant_retry_after_send,
     "old-copy": plant_old_copy,
     "lost-drain": plant_lost_drain,
+    "lost-limit": plant_lost_limit,
 }
 
 
--- a/daisystack/tests/on_platform/soak_site.py
+++ b/daisystack/tests/on_platform/soak_site.py
@@ -25,6 +25,7 @@
 __all__ = [
     "KEPT_KEYS",
     "PLANTED_VARIABLE",
+    "AnswerHeaders",
     "Bounds",
     "RequestShape",
     "SoakSite",
@@ -143,10 +144,25 @@
         return "", versions[0]
 
 
-def read_answer_headers(headers: dict[str, str]) -> tuple[str, str, bool]:
-    """Return an answer's request id, the id of its upstream ("" for none), and if that leaves."""
+@frozen
+class AnswerHeaders:
+    """Request id of an answer, the id of its upstream ("" for none), and what that says."""
+
+    request_id: str
+    upstream: str
+    is_leaving: bool
+    rate_limit: str
+
+
+def read_answer_headers(headers: dict[str, str]) -> AnswerHeaders:
+    """Return what the headers of an answer say."""
     upstream = headers.get("x-response-stamp", "").rpartition(".")[0]
-    return headers.get("x-attempt-id", ""), upstream, "server-leaving" in headers
+    return AnswerHeaders(
+        headers.get("x-attempt-id", ""),
+        upstream,
+        "server-leaving" in headers,
+        headers.get("server-limit", ""),
+    )
 
 
 @define(eq=False)
@@ -226,6 +242,12 @@
         host = self._upstream_host(self.upstream_names().index(name))
         self._request(f"http://{host}:{self.base_port + UPSTREAM_PORT}/leave", "PUT", b"", {})
 
+    def name_limit(self, name: str, limit: str) -> None:
+        """Let an upstream name a limit of requests a second in its answers, or none for ""."""
+        host = self._upstream_host(self.upstream_names().index(name))
+        url = f"http://{host}:{self.base_port + UPSTREAM_PORT}/limit"
+        self._request(url, "PUT", limit.encode(), {})
+
     def hang_up(self, name: str) -> None:
         """Write a program's settings again with one more seed; the caller sends the signal."""
         path = self.folder / f"{name}.conf"
--- a/daisystack/tests/on_platform/upstream.py
+++ b/daisystack/tests/on_platform/upstream.py
@@ -112,6 +112,8 @@
     options: UpstreamOptions
     record: TextIO
     is_leaving: bool = False
+    # Requests a second that it takes from all entries together, as it writes it; "" for any.
+    rate_limit: str = ""
     # Number of heartbeats, by which an entry that comes back is told from one of an older copy.
     heartbeat_count: int = 0
     born_ms: int = field(factory=lambda: int(time.time() * MS_PER_S))
@@ -129,6 +131,7 @@
             Route("POST", "/daisystack/order", self._order),
             *(route for route in self.engine.routes() if "/stage-" in route.prefix),
             Route("PUT", "/leave", self._leave),
+            Route("PUT", "/limit", self._limit),
             Route("GET", "/", self._run),
             Route("POST", "/", self._run),
         ]
@@ -203,6 +206,11 @@
             eventlet.spawn(self._drain)
         return json_response(200, {})
 
+    def _limit(self, request: Request, subpath: str) -> Response:
+        self.rate_limit = read_body(request, MAX_BODY_BYTES).decode()
+        self.write("limited" if self.rate_limit else "unlimited", reason=self.rate_limit)
+        return json_response(200, {})
+
     def _drain(self) -> None:
         while not self._register():
             eventlet.sleep(POLL_S)
@@ -245,7 +253,8 @@
 
     def _headers(self, request: Request) -> tuple[tuple[str, str], ...]:
         leaving = (("Server-Leaving", "1"), ("Connection", "close")) if self.is_leaving else ()
-        return (*answer_headers(self.options.id, request), *leaving)
+        limit = (("Server-Limit", self.rate_limit),) if self.rate_limit else ()
+        return (*answer_headers(self.options.id, request), *leaving, *limit)
 
     def _answer(self, request: Request) -> Response:
         try:
--- a/daisystack/tests/test_soak.py
+++ b/daisystack/tests/test_soak.py
@@ -268,6 +268,19 @@
         name = "retry budget"
         self.assert_found(name, [history, *first, *again], [history, *first, *few])
 
+    def test_check_rate_limits(self):
+        limited = build_event("limited", 90.0, name="", reason="1")
+        told = build_request("t", upstream="plain-0", rate_limit="1", sent_s=90.1, ended_s=90.2)
+        later = [build_request(f"r{n}", sent_s=100.0) for n in range(12)]
+        history = build_history(told, *later)
+        arrived = [build_event("arrived", 100.0 + n / 4, name=f"r{n}") for n in range(12)]
+        name = "rate limits"
+        self.assert_found(name, [history, limited, *arrived], [history, limited, *arrived[:11]])
+        not_told = build_history(*later)
+        self.assertEqual(self.breaches(name, not_told, limited, *arrived), [])
+        ended = build_event("unlimited", 95.0, name="")
+        self.assertEqual(self.breaches(name, history, limited, ended, *arrived), [])
+
     def test_check_weight_versions(self):
         weights = [Publication(0.0, 1, 0.0), Publication(90.0, 2, 90.0)]
         history = build_history(build_request(kind="tale"), weights=weights)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -155,7 +155,9 @@
 
     def _check(self, response: HTTPResponse, body: bytes, record: RequestRecord) -> None:
         headers = {name.lower(): value for name, value in response.getheaders()}
-        answered_id, record.upstream, record.is_upstream_leaving = read_answer_headers(headers)
+        named = read_answer_headers(headers)
+        answered_id, record.upstream = named.request_id, named.upstream
+        record.is_upstream_leaving, record.rate_limit = named.is_leaving, named.rate_limit
         if answered_id not in ("", record.shape.id):
             record.fault = f"got the answer of request {answered_id}"
         elif response.status == 200:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -24,6 +24,10 @@
 # An upstream that left has ended by then, and its id may be used again.
 MAX_DRAIN_S = 2.5
 MIN_SERVED_SHARE = 0.75
+# An upstream's limit is kept from then on, by entries that passed it on so long before.
+LIMIT_STABLE_S = 3.0
+LIMIT_TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
 SERVICES = {"draft": "pool", "tale": "pool"}
 REFUSED_KEY, NO_ROUTE = 401, 404
 
@@ -314,6 +318,52 @@
     return sum(end_s - window_s < time_s <= end_s for time_s in times_s)
 
 
+def check_rate_limits(evidence: Evidence) -> list[str]:
+    """Entries that passed on an upstream's limit keep it together."""
+    told_s: dict[tuple[str, int], float] = {}
+    for record in evidence.history.requests:
+        if record.rate_limit:
+            key = (record.upstream, record.entry)
+            told_s[key] = min(record.ended_s, told_s.get(key, record.ended_s))
+    breaches = []
+    for start_s, end_s, limited in _limited_times(evidence):
+        name = limited.upstream.partition(".")[0]
+        times_s = []
+        for event in evidence.events:
+            record = evidence.by_id.get(event.id)
+            if event.event != "arrived" or event.upstream != limited.upstream or record is None:
+                continue
+            is_told = told_s.get((event.upstream, record.entry), end_s) + LIMIT_TOLD_S <= event.at_s
+            targets = (f"entry-{record.entry}", name, f"upstream:{name}")
+            is_calm = evidence.history.is_calm(targets, event.at_s - LIMIT_STABLE_S, event.at_s)
+            if start_s + LIMIT_STABLE_S <= event.at_s <= end_s and is_told and is_calm:
+                times_s.append(event.at_s)
+        allowed = 1.5 * LIMIT_WINDOW_S * float(limited.reason) + 5
+        worst = max((_count(times_s, at_s, LIMIT_WINDOW_S) for at_s in times_s), default=0)
+        if worst > allowed:
+            breaches.append(f"{limited.upstream} got {worst} in 4 s, allowed are {allowed:.1f}")
+    return breaches
+
+
+def _limited_times(evidence: Evidence) -> list[tuple[float, float, UpstreamEvent]]:
+    """Return when each limit was first named in an answer, when it ended, and its event."""
+    times = []
+    for limited in (e for e in evidence.events if e.event == "limited"):
+        ends_s = [
+            e.at_s
+            for e in evidence.events
+            if e.event == "unlimited" and e.upstream == limited.upstream and e.at_s > limited.at_s
+        ]
+        end_s = min(ends_s, default=float("inf"))
+        named_s = [
+            r.ended_s
+            for r in evidence.history.requests
+            if r.upstream == limited.upstream and r.rate_limit and r.ended_s > limited.at_s
+        ]
+        times.append((min(named_s, default=end_s), end_s, limited))
+    return times
+
+
 def check_versions(evidence: Evidence) -> list[str]:
     """No request of an entry in touch begins on an old version after the bound of a newer one."""
     breaches = []
@@ -374,6 +424,7 @@
     "leaving answers": check_leaving_answers,
     "graceful stops": check_graceful_stops,
     "retry budget": check_retry_budget,
+    "rate limits": check_rate_limits,
     "weight versions": check_versions,
     "recovery": check_recovery,
 }
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -27,6 +27,9 @@
 MAX_VERSIONS = 3
 STOP_POLL_S = 0.05
 LEAVE_TIMEOUT_S = 20.0
+# Longer than the time from which a limit is kept.
+LIMIT_S = 6.0
+LIMITS = ("0.5", "1", "1.5")
 HELD_BY_KIND = {
     "cut_to_target": frozenset({TO_TARGET}),
     "cut_to_caller": frozenset({TO_CALLER}),
@@ -88,6 +91,7 @@
             "terminate": self._terminate,
             "hang_up": self._hang_up,
             "leave": self._leave,
+            "limit": self._limit,
             "configs": self._publish_configs,
             "weights": self._publish_weights,
             "drill": self._drill,
@@ -158,6 +162,12 @@
         self._start(fault.target)
         disruption.end_s = time.monotonic()
 
+    def _limit(self, fault: Fault) -> None:
+        """Let an upstream name a limit for a while."""
+        self.site.name_limit(fault.target, self._rng.choice(LIMITS))
+        time.sleep(LIMIT_S + fault.duration_s)
+        self.site.name_limit(fault.target, "")
+
     def _publish_configs(self, fault: Fault) -> None:
         for _ in range(self._rng.randint(1, MAX_VERSIONS)):
             self.publish_config()
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -16,7 +16,7 @@
 SERIES_PAUSE_S = (0.3, 1.2)
 ENTRY_KINDS = ("kill", "freeze", "terminate", "hang_up")
 AGENT_KINDS = ("kill", "freeze", "terminate")
-UPSTREAM_KINDS = ("kill", "freeze", "leave")
+UPSTREAM_KINDS = ("kill", "freeze", "leave", "limit")
 LINK_KINDS = ("delay", "reset", "cut_to_target", "cut_to_caller", "silence")
 OPERATOR_KINDS = ("configs", "weights", "drill")
 STORE_KINDS = ("freeze",)
@@ -49,6 +49,7 @@
         "store": (["store"], STORE_KINDS),
     }
     faults = [_draw(rng, kind, "operator", seconds) for kind in ALWAYS]
+    faults.append(_draw(rng, "limit", rng.choice(upstreams), seconds))
     while len(faults) < FAULTS_PER_S * seconds:
         names, kinds = targets[rng.choice(GROUPS)]
         first = _draw(rng, rng.choice(kinds), rng.choice(names), seconds)
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -46,6 +46,7 @@
     version: int = 0
     upstream: str = ""
     is_upstream_leaving: bool = False
+    rate_limit: str = ""
 
     @property
     def is_served(self) -> bool:
