Hold back the retry slack of entries that have just started

Cause: each new incarnation began with a full part of the slack, which its former one may have used in the same window, and with the part for the few entries that it knew in its first second. Change: no slack in the first 2 s, then 0.3 of the part until a window has passed, which with the 0.7 of a former incarnation adds up to the whole. Retries in proportion to an entry's own first attempts are as before. Ruled out: no slack for a whole window, which after each restart would refuse retries that the bound allows. Conclusion: holds for one restart of all in a window; two within one window, and halves of the fleet apart for over 30 s (each half counts itself: twice the slack), stay open.

--- a/daisystack/core/retries.py
+++ b/daisystack/core/retries.py
@@ -12,6 +12,8 @@
 # Keeps the sum over all entries below the published bound while entries disagree on how many
 # entries there are.
 SAFETY_FACTOR = 0.7
+# An entry that has just started knows few others, and may take their parts for its own.
+COUNT_SETTLED_S = 2.0
 
 
 class Budget(Protocol):
@@ -52,6 +54,8 @@
     ratio: float
     slack: float
     window_s: float
+    # When this entry started; an earlier incarnation may have used its part of the slack before.
+    started_s: float = float("-inf")
     _first_attempts_s: deque[float] = field(factory=deque)
     _retries_s: deque[float] = field(factory=deque)
 
@@ -63,8 +67,15 @@
     def remaining(self, entries: int, now_s: float) -> float:
         """Return how many retries may still be sent in this window."""
         self._drop_old(now_s)
-        allowed = self.ratio * len(self._first_attempts_s) + self.slack / max(1, entries)
-        return SAFETY_FACTOR * allowed - len(self._retries_s)
+        allowed = SAFETY_FACTOR * self.ratio * len(self._first_attempts_s)
+        allowed += self._slack_factor(now_s) * self.slack / max(1, entries)
+        return allowed - len(self._retries_s)
+
+    def _slack_factor(self, now_s: float) -> float:
+        age_s = now_s - self.started_s
+        if age_s < COUNT_SETTLED_S:
+            return 0.0
+        return SAFETY_FACTOR if age_s >= self.window_s else 1.0 - SAFETY_FACTOR
 
     def try_consume(self, entries: int, now_s: float) -> bool:
         """Consume one retry; return False if the window has none left."""
@@ -86,6 +97,7 @@
     ratio: float
     slack: float
     window_s: float
+    started_s: float = float("-inf")
     _budgets: dict[str, WindowedBudget] = field(factory=dict)
 
     def credit(self, service: str, now_s: float) -> None:
@@ -106,5 +118,7 @@
 
     def _budget_for(self, service: str) -> WindowedBudget:
         if service not in self._budgets:
-            self._budgets[service] = WindowedBudget(self.ratio, self.slack, self.window_s)
+            self._budgets[service] = WindowedBudget(
+                self.ratio, self.slack, self.window_s, self.started_s
+            )
         return self._budgets[service]
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -314,6 +314,7 @@
             self._count_entries,
             crashes,
             stop_times=self.stop_times,
+            started_s=now_s(),
         )
 
     def _count_entries(self) -> int:
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -121,6 +121,8 @@
     stop_times: Callable[[], StopTimes | None] = lambda: None
     # Returns whether the published documents are recent enough for a request that arrived then.
     wait_until_current: Callable[[float], bool] = lambda arrived_s: True
+    # When this process started; it may use less of the retry budget for a while.
+    started_s: float = float("-inf")
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
@@ -134,7 +136,7 @@
         self.rate_limits = RateLimitWatch(self.placement)
         settings = self.settings
         self._budgets = ServiceBudgets(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s, self.started_s
         )
 
     def handle(self, inbound: InboundRequest, responder: Responder) -> None:
