Believe the notices of refusals that name no request

What callers saw: nothing; found by reading the example messages again. Cause: asked for the request's id, which an upstream leaves out when it refuses a request, so pauses and limits in refusals were lost. Evidence: the new test of the adapter failed (a refusal without an id was not believed). Change: only an answer that names another request is dropped. Ruled out: believing an answer with neither mark nor the word that the request was not run.

--- a/daisystack/core/direct_request.py
+++ b/daisystack/core/direct_request.py
@@ -69,4 +69,6 @@
 
     def is_from_upstream(self, request_id: str) -> bool:
         """Return whether the upstream that was addressed wrote this answer to a request."""
-        return self.request_id == request_id and (self.is_marked or self.was_not_run)
+        # An upstream refuses a request without its id.
+        names_another = self.request_id not in (None, request_id)
+        return not names_another and (self.is_marked or self.was_not_run)
--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -185,6 +185,18 @@
             with self.subTest(value), self.assertRaises(InvalidRequest):
                 self.build(tuple(headers))
 
+    # BUDGET: a refusal without an id was ignored, and its pause with it.
+    def test_refusals_speak_for_their_upstream_without_an_id(self):
+        cases = {
+            (503, ((b"x-not-executed", b"1"),)): True,
+            (503, ((b"x-not-executed", b"1"), (b"x-attempt-id", b"other"))): False,
+            (503, ()): False,
+            (200, ((b"x-response-stamp", b"s"), (b"x-attempt-id", b"r1"))): True,
+        }
+        for (status, headers), is_own in cases.items():
+            answer = HeaderDialect().read_answer(status, headers)
+            self.assertEqual(answer.is_from_upstream("r1"), is_own, (status, headers))
+
     def test_responses_report_whether_the_request_ran(self):
         mark = (b"x-response-stamp", b"s")
         cases = [
