Tell callers the time of a rate limit only if all upstreams have one

What callers saw: with one limited upstream among others that were loading or paused, a refused caller would have been told to return at the rate of that limit, up to 60 s later. Cause: any limited upstream decided. Evidence: the new test failed, 20 s told instead of 0.5 s. Change: the limits decide only if none of the service's ready upstreams may be sent to by them. Ruled out: the shorter of both times, which for other causes isn't known.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -443,9 +443,9 @@
             for u in self._upstreams.values()
             if u.service == requirements.service and u.is_ready
         ]
-        limited = [key for key in incarnations if not self.shares.may_send(key, now_s)]
-        if limited:
-            return_s = self.shares.plan_return_s(requirements.service, limited, now_s)
+        # Other upstreams may accept requests again long before a limit allows the next one.
+        if incarnations and not any(self.shares.may_send(key, now_s) for key in incarnations):
+            return_s = self.shares.plan_return_s(requirements.service, incarnations, now_s)
             return Refusal("the rate limits of the upstreams are used up", False, return_s)
         end_s = self.pauses.next_end_s(incarnations, now_s)
         if end_s is None:
--- a/daisystack/tests/test_rate_limits.py
+++ b/daisystack/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from daisystack.core.placement import PlacementRequirements
 from daisystack.core.rate_limits import (
     MAX_RECORDS,
     MIN_LIMIT_PER_S,
@@ -269,6 +270,18 @@
         self.assertEqual(set(self.parts(2.0, {"a": 5}, live=2).values()), {0.0})
         self.assertEqual(sum(self.parts(2.0, {"a": 5}, live=3).values()), 1.5)
 
+    # Callers were told to stay away for the time of a limit while other upstreams came back sooner.
+    def test_time_of_a_limit_is_told_only_if_all_upstreams_have_one(self):
+        placement = build_requests(build_policy(build_route()), []).placement
+        for id_ in ("u1", "u2"):
+            placement.update_upstream(build_upstream(id_))
+        placement.shares.limits.record_named("u1", 0, 0.05, 10.0)
+        placement.pauses.record_pause("u2", 0, 0.5, 10.0)
+        requirements = PlacementRequirements("ledger", "z1")
+        self.assertEqual(placement.choose(requirements, 10.0).retry_after_s, 0.5)
+        placement.shares.limits.record_named("u2", 0, 0.05, 10.0)
+        self.assertEqual(placement.choose(requirements, 10.0).retry_after_s, 10.0)
+
 
 class TestSends(unittest.TestCase):
     # LIMIT: an entry that had passed on an upstream's limit sent it each request that arrived.
