--- a/daisystack/core/rate_shares.py
+++ b/daisystack/core/rate_shares.py
@@ -251,10 +251,6 @@
         self._sent_s.setdefault(key, deque()).append(now_s)
         return True
 
-    def sent_in_window(self, key: Incarnation, now_s: float) -> int:
-        """Return how many requests this entry sent in the last window."""
-        return sum(at_s > now_s - WINDOW_S for at_s in self._sent_s.get(key, ()))
-
     def plan_return_s(self, service: str, keys: Iterable[Incarnation], now_s: float) -> float:
         """Return after how long the next refused caller of a service should come back.
 
