Ask for rate limits at a choice only if any was named

Cause: each choice asked for the limit of each upstream, also when no upstream had ever named one. Ruled out: a cache of the upstreams without a limit, which would have to follow both lists.

--- a/daisystack/core/placement.py
+++ b/daisystack/core/placement.py
@@ -333,9 +333,11 @@
         The entries of a zone send at about the same rate and spread their requests evenly over its
         engines.
         """
-        limit_per_s = self.shares.limits.limit_per_s(*upstream.incarnation)
-        if limit_per_s is not None:
-            return limit_per_s * max(0.0, age_s)
+        # Asked for each upstream at each choice.
+        if not self.shares.limits.is_empty:
+            limit_per_s = self.shares.limits.limit_per_s(*upstream.incarnation)
+            if limit_per_s is not None:
+                return limit_per_s * max(0.0, age_s)
         sent_s = self._sent_s.get(upstream.service)
         if not sent_s or not self._sending_entries:
             return 0.0
@@ -461,7 +463,8 @@
             return False
         if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
             return False
-        if not self.shares.may_send(upstream.incarnation, now_s):
+        is_unlimited = self.shares.limits.is_empty
+        if not is_unlimited and not self.shares.may_send(upstream.incarnation, now_s):
             return False
         if not upstream.has_engine:
             return True
--- a/daisystack/core/rate_limits.py
+++ b/daisystack/core/rate_limits.py
@@ -112,6 +112,11 @@
         """Return since when the limit in force has been named by each answer."""
         return self._records[upstream_id, started_ms].first_named_s
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no limit was ever named, as far as is remembered."""
+        return not self._records
+
     def limited(self) -> dict[Incarnation, float]:
         """Return the limits in force."""
         known = {key: record.in_force_per_s for key, record in self._records.items()}
