Seed all of a simulated fleet's play, so that its tests give one verdict

Two sources of a play were not seeded: eventlet orders timers of the same time by their address, and incarnations are drawn from the system.

Ruled out: the order of sets (PYTHONHASHSEED=0 changed nothing), load of the machine.

Change: PassedTimeHub moves each timer by 1e-12 s behind those added before it; tokens of incarnations come from the seeded source.

--- a/daisystack/testing/fleet.py
+++ b/daisystack/testing/fleet.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 from eventlet import hubs, patcher
 from eventlet.hubs.hub import BaseHub
+from eventlet.hubs.timer import Timer
 
 from daisystack.backends import BackendError
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
@@ -37,6 +38,8 @@
 UPSTREAMS = 48
 LONG_ANSWER_BYTES = 100_000
 AGE_SAMPLE_INTERVAL_S = 0.05
+# Short enough that a million timers move by a microsecond.
+TIMER_STEP_S = 1e-12
 
 
 class PassedTimeHub(BaseHub):
@@ -44,6 +47,7 @@
 
     def __init__(self) -> None:
         self.at_s = 0.0
+        self._added = 0
         super().__init__(lambda: self.at_s)
 
     @classmethod
@@ -51,6 +55,13 @@
         """Return that eventlet may use this loop."""
         return True
 
+    def add_timer(self, timer: Timer) -> float:
+        """Schedule a timer behind those of the same time, which eventlet orders by address."""
+        self._added += 1
+        scheduled_s = self.at_s + timer.seconds + self._added * TIMER_STEP_S
+        self.next_timers.append((scheduled_s, timer))
+        return scheduled_s
+
     def wait(self, seconds: float | None = None) -> None:
         """Pass time up to the next timer."""
         self.at_s = max(self.at_s + (seconds or 0.0), self.sleep_until() or 0.0)
@@ -66,7 +77,8 @@
         hubs.use_hub(PassedTimeHub)
         passed_time = mock.Mock(wraps=clock.time)
         passed_time.clock_gettime = lambda _: 1000.0 + hubs.get_hub().at_s
-        with mock.patch.object(clock, "time", passed_time):
+        secrets = mock.Mock(token_hex=lambda count: random.randbytes(count).hex())
+        with mock.patch.multiple(clock, time=passed_time, secrets=secrets):
             try:
                 results.append(action())
             except BaseException as error:  # raised again in the thread that waits
