Ask peers for a confirmation before reading the store

Cause: gossip brings the first reader's confirmation to most entries in two rounds and to some in four or more. Those reach the third reader's age, and each reads the store.

Ruled out: watches and the reads of the first two readers (3 and 2 a second in 3 zones, constant).

Change: at the second reader's age an entry below it exchanges news with two entries that are ranked before it as readers, of rank r // 8 and the next; so each is asked by 16 others at most. It reads the store at the same age as before.

--- a/daisystack/core/gossip_peers.py
+++ b/daisystack/core/gossip_peers.py
@@ -7,13 +7,21 @@
 
 from daisystack.core.membership import Member, MemberRole, Membership
 
-__all__ = ["RELAYS_PER_ZONE", "RELAY_DUTY", "choose_push_peers", "choose_round_peers"]
+__all__ = [
+    "RELAYS_PER_ZONE",
+    "RELAY_DUTY",
+    "choose_push_peers",
+    "choose_ranked_before",
+    "choose_round_peers",
+]
 
 # Each entry hears from twice as many peers a round, as it is also contacted by others.
 IN_ZONE_FANOUT = 2
 # Entries of a zone that exchange news with other zones; the second covers for a failed first one.
 RELAYS_PER_ZONE = 2
 RELAY_DUTY = "relay"
+# Entries of a zone that ask the same one, so that the first ones are not asked by the whole zone.
+ASKING_FANOUT = 8
 
 _T = TypeVar("_T")
 
@@ -64,6 +72,12 @@
     return list(chosen.values())
 
 
+def choose_ranked_before(ranking: Sequence[str], own_id: str) -> list[str]:
+    """Return two members of a ranking that are asked by at most 2 * ASKING_FANOUT others each."""
+    first = ranking.index(own_id) // ASKING_FANOUT
+    return [member for member in ranking[first : first + 2] if member != own_id]
+
+
 def _choose_in_next_zone(others: list[Member], rounds: int, draw: RandomSource) -> list[Member]:
     """Return a member of the next other zone, so that each gets a turn."""
     by_zone = _group_by_zone(others)
--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["Change", "Delta", "DocumentVersion", "Mirror", "Snapshot"]
+__all__ = ["NEVER_CONFIRMED_S", "Change", "Delta", "DocumentVersion", "Mirror", "Snapshot"]
 
 # Deletions kept for peers that lag behind; peers that need older ones get a full copy.
 MAX_TOMBSTONES = 2048
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -169,6 +169,8 @@
             MirrorTask(mirror, self.store, self._reader_rank, self.apply_changes, bound_s)
             for mirror in self.mirrors.values()
         )
+        for task in (operator_task, upstream_task):
+            task.ask_peers = self._ask_for_confirmation
         # The configuration may be long, the list of upstreams is short.
         operator_task.confirmer = upstream_task
         upstream_task.on_snapshot = self.mirrors[self.operator_prefix].apply_other_prefix
@@ -324,6 +326,9 @@
         """Return this entry's rank among the zone's live entries, at most MAX_READER_RANK."""
         return min(MAX_READER_RANK, self.mesh.rank_in_zone(READER_DUTY, now_s()))
 
+    def _ask_for_confirmation(self) -> None:
+        self.mesh.ask_ranked_before(READER_DUTY)
+
     def _gauge_samples(self) -> list[Sample]:
         at_s = now_s()
         samples = [
--- a/daisystack/runtime/mesh_task.py
+++ b/daisystack/runtime/mesh_task.py
@@ -13,7 +13,11 @@
 from daisystack.core.crash_hold import EntryCrashCount
 from daisystack.core.crash_suspects import PartEvidence
 from daisystack.core.engine_status import EngineStatusTable
-from daisystack.core.gossip_peers import choose_push_peers, choose_round_peers
+from daisystack.core.gossip_peers import (
+    choose_push_peers,
+    choose_ranked_before,
+    choose_round_peers,
+)
 from daisystack.core.membership import Heartbeat, Member, MemberRole, Membership
 from daisystack.core.mirror import Mirror
 from daisystack.core.rate_limits import LimitNews
@@ -117,6 +121,13 @@
             self._is_push_due = True
             eventlet.spawn_after(wait_s, self._push)
 
+    def ask_ranked_before(self, duty: str) -> None:
+        """Exchange news with two entries of the zone that are ranked before this one for a duty."""
+        at_s = now_s()
+        asked = choose_ranked_before(self.membership.zone_ranking(duty, at_s), self.own.id)
+        live = self.membership.live(MemberRole.ENTRY, at_s)
+        self._exchange_with_all({m.peer_address: m.zone for m in live if m.id in asked})
+
     def heard_age_s(self, mirror: Mirror, at_s: float) -> float:
         """Return how long ago the store confirmed a mirror of any peer, as far as was heard."""
         return at_s - self._heard_confirmed_s.get(mirror.prefix, float("-inf"))
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -11,8 +11,8 @@
 from eventlet.event import Event
 
 from daisystack.backends import BackendError, PublishedStore
-from daisystack.core.mirror import Mirror, Snapshot
-from daisystack.core.readers import BASE_BOUND_S, max_mirror_age_s
+from daisystack.core.mirror import NEVER_CONFIRMED_S, Mirror, Snapshot
+from daisystack.core.readers import BASE_BOUND_S, MAX_READER_RANK, max_mirror_age_s
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import CopySlow, DependencyLost, DependencyRegained, StoreEraChanged
 from daisystack.runtime.logs import log_event
@@ -51,9 +51,13 @@
     publication_bound_s: float = BASE_BOUND_S
     confirmer: MirrorTask | None = None
     on_snapshot: Callable[[Snapshot], None] = lambda snapshot: None
+    # Asks peers that read the store earlier for their confirmations.
+    ask_peers: Callable[[], None] = lambda: None
     calls: int = 0
     _is_store_lost: bool = False
     _read_latency_s: float = 0.0
+    # The confirmation at which peers were last asked for a later one.
+    _asked_confirmed_s: float = NEVER_CONFIRMED_S
     # Set while a read runs, for others that need its result.
     _running_read: Event | None = None
 
@@ -117,15 +121,24 @@
     def _step(self) -> None:
         if not self.mirror.has_snapshot:
             eventlet.sleep(random.uniform(0.0, START_JITTER_S))
-        max_age_s = max_mirror_age_s(
-            self.reader_rank(), self._read_latency_s, self.publication_bound_s
-        )
-        wait_s = max_age_s - self.mirror.age_s(now_s())
-        if wait_s > 0:
-            eventlet.sleep(max(MIN_WAIT_S, min(wait_s, max_age_s)))
+        rank = self.reader_rank()
+        age_s = self.mirror.age_s(now_s())
+        wait_s = self._max_age_s(rank) - age_s
+        if wait_s <= 0:
+            if not self.refresh():
+                eventlet.sleep(RETRY_S * random.uniform(0.5, 1.5))
             return
-        if not self.refresh():
-            eventlet.sleep(RETRY_S * random.uniform(0.5, 1.5))
+        if rank >= MAX_READER_RANK and self.mirror.confirmed_s > self._asked_confirmed_s:
+            ask_wait_s = self._max_age_s(rank - 1) - age_s
+            if ask_wait_s > 0:
+                wait_s = ask_wait_s
+            else:
+                self._asked_confirmed_s = self.mirror.confirmed_s
+                self.ask_peers()
+        eventlet.sleep(max(MIN_WAIT_S, wait_s))
+
+    def _max_age_s(self, rank: int) -> float:
+        return max_mirror_age_s(rank, self._read_latency_s, self.publication_bound_s)
 
     def _read(self) -> bool:
         self.calls += 1
--- a/daisystack/tests/test_config_in_force.py
+++ b/daisystack/tests/test_config_in_force.py
@@ -143,10 +143,13 @@
             fleet.quiet_calls_per_s = (fleet.store.calls - calls) / 5.0
             fleet.quiet_bytes_per_s = (fleet.region_bytes() - bytes_before) / 5.0
 
-        fleet = play(action)
-        self.assertLess(fleet.quiet_calls_per_s, MAX_QUIET_CALLS_PER_S)
-        # One copy of the document would be 0.1 MB/s.
-        self.assertLess(fleet.quiet_bytes_per_s, 100_000)
+        for size in (ENTRIES, MANY_ENTRIES):
+            with self.subTest(size=size):
+                fleet = play(action, size=size)
+                # Calls that grow with the entries of a zone reach the bound first.
+                self.assertLess(fleet.quiet_calls_per_s, MAX_QUIET_CALLS_PER_S)
+                # One copy of the document would be 0.1 MB/s.
+                self.assertLess(fleet.quiet_bytes_per_s, 100_000)
 
 
 if __name__ == "__main__":
--- a/daisystack/tests/test_gossip_scale.py
+++ b/daisystack/tests/test_gossip_scale.py
@@ -5,7 +5,9 @@
 
 import statistics
 import unittest
+from collections import Counter
 
+from daisystack.core.gossip_peers import ASKING_FANOUT, choose_ranked_before
 from daisystack.core.membership import MemberRole
 from daisystack.testing.gossip import GossipFleet
 
@@ -43,6 +45,19 @@
         self.assertLess(rates[300][1], 20_000)
         self.assertLess(rates[300][2], 1.5 * rates[100][2])
 
+    def test_entries_that_ask_for_a_confirmation_spread_over_their_zone(self):
+        """Guards against first readers that all entries of a large zone ask."""
+        for size in (1, 2, 9, 33, 133):
+            ranking = [f"e{index}" for index in range(size)]
+            asked = Counter(
+                member for own in ranking for member in choose_ranked_before(ranking, own)
+            )
+            self.assertLessEqual(max(asked.values(), default=0), 2 * ASKING_FANOUT)
+            for rank, own in enumerate(ranking[2:], 2):
+                ranks = [ranking.index(member) for member in choose_ranked_before(ranking, own)]
+                self.assertEqual(len(ranks), 2)
+                self.assertLess(max(ranks), rank)
+
 
 class TestKnowledge(unittest.TestCase):
     def test_all_know_their_zone_and_the_size_of_the_fleet_within_seconds(self):
