Let few entries of a zone read a changed long document

Cause: an entry whose short read shows an unknown change reads the whole document at once. Entries below the second reader all do so at the same age, and their copies fill the links between zones.

Change: an entry ranked below the third reads it itself only at the age of the fifth reader, at most the bound; until then it asks peers, who bring the copy packed. The first three read as before.

--- a/daisystack/core/readers.py
+++ b/daisystack/core/readers.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "BASE_BOUND_S",
+    "MAX_LONG_READER_RANK",
     "MAX_READER_RANK",
     "agent_neighbors",
     "entry_neighbors",
@@ -45,6 +46,9 @@
 # Entries ranked lower use this rank too, so that every entry reads the store once its mirrors are
 # as old as the third reader's may be.
 MAX_READER_RANK = 2
+# A long document fills the links if all entries of a zone read it at once, so those ranked below
+# the third wait longer for a peer's copy.
+MAX_LONG_READER_RANK = 4
 # A read that is answered late, and the way of the answer to the request that needs it.
 READ_DURATION_S = 0.4
 
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -17,7 +17,7 @@
 from daisystack.core.membership import Member, MemberRole, usable_entries
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
-from daisystack.core.readers import MAX_READER_RANK, mirror_bound_s
+from daisystack.core.readers import mirror_bound_s
 from daisystack.core.stopping import StopTimes
 from daisystack.core.targets import Targets
 from daisystack.core.traffic import CallerLimits
@@ -323,8 +323,8 @@
         return self.mesh.membership.entry_count(now_s())
 
     def _reader_rank(self) -> int:
-        """Return this entry's rank among the zone's live entries, at most MAX_READER_RANK."""
-        return min(MAX_READER_RANK, self.mesh.rank_in_zone(READER_DUTY, now_s()))
+        """Return this entry's rank as a reader among the zone's live entries."""
+        return self.mesh.rank_in_zone(READER_DUTY, now_s())
 
     def _ask_for_confirmation(self) -> None:
         self.mesh.ask_ranked_before(READER_DUTY)
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -12,7 +12,12 @@
 
 from daisystack.backends import BackendError, PublishedStore
 from daisystack.core.mirror import NEVER_CONFIRMED_S, Mirror, Snapshot
-from daisystack.core.readers import BASE_BOUND_S, MAX_READER_RANK, max_mirror_age_s
+from daisystack.core.readers import (
+    BASE_BOUND_S,
+    MAX_LONG_READER_RANK,
+    MAX_READER_RANK,
+    max_mirror_age_s,
+)
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import CopySlow, DependencyLost, DependencyRegained, StoreEraChanged
 from daisystack.runtime.logs import log_event
@@ -82,6 +87,9 @@
                 return False
             if self.mirror.confirmed_s >= self.confirmer.mirror.confirmed_s:
                 return True
+            if self.mirror.age_s(now_s()) < self._max_long_age_s():
+                self.ask_peers()
+                return False
         if self._running_read is not None:
             return self._running_read.wait()
         self._running_read = running_read = Event()
@@ -121,7 +129,7 @@
     def _step(self) -> None:
         if not self.mirror.has_snapshot:
             eventlet.sleep(random.uniform(0.0, START_JITTER_S))
-        rank = self.reader_rank()
+        rank = min(self.reader_rank(), MAX_READER_RANK)
         age_s = self.mirror.age_s(now_s())
         wait_s = self._max_age_s(rank) - age_s
         if wait_s <= 0:
@@ -137,6 +145,14 @@
                 self.ask_peers()
         eventlet.sleep(max(MIN_WAIT_S, wait_s))
 
+    def _max_long_age_s(self) -> float:
+        """Return the age at which this process reads a changed long document itself."""
+        rank = self.reader_rank()
+        if rank <= MAX_READER_RANK:
+            return 0.0
+        max_age_s = self._max_age_s(min(rank, MAX_LONG_READER_RANK))
+        return min(max_age_s, self.publication_bound_s)
+
     def _max_age_s(self, rank: int) -> float:
         return max_mirror_age_s(rank, self._read_latency_s, self.publication_bound_s)
 
--- a/daisystack/tests/test_config_in_force.py
+++ b/daisystack/tests/test_config_in_force.py
@@ -93,6 +93,14 @@
         """Guards against entries that wait for readers which were killed at the same moment."""
         self.assert_in_time(publish_without_readers, is_confirmed=False)
 
+    def test_few_entries_read_a_big_document_when_the_readers_are_lost_together(self):
+        """Guards against links that are filled by entries which all read it at the same time."""
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                fleet = play(publish_without_readers, seed=seed)
+                # Three readers and a watch in each zone.
+                self.assertLessEqual(fleet.store.long_answers, 4 * ZONES)
+
     def test_changes_are_in_force_in_time_while_watches_hear_nothing(self):
         """Guards against trust in watches, which miss changes while the store drops history."""
 
