Judge the store by reads that began after a request arrived

Cause: a read that began before the entry came back fails within 20 ms of the request. The gate took that for a lost store and decided by the copy it had, though peers and the store would have answered. Besides, a read asked for by the gate joined the old one and shared its failure.

Change: while a request waits, only a failed read that began when it arrived or later shows that the store is lost; an older running read is joined only if it succeeds. A store that was known to be lost when the request arrived is judged as before.

Open: a request that arrives when the latest read has already failed is decided at once, also if that read began before a standstill.

--- a/daisystack/runtime/belief_gate.py
+++ b/daisystack/runtime/belief_gate.py
@@ -51,7 +51,7 @@
 
     def wait_until_current(self, arrived_s: float) -> bool:
         """Return whether a request that arrived at a time may be decided on the mirrors."""
-        state = self._state(arrived_s)
+        state = self._state(arrived_s, [task.is_store_lost for task in self.tasks])
         if state is BeliefState.CURRENT:
             return True
         self._record_too_old(arrived_s, state)
@@ -59,7 +59,9 @@
         while state in WORTH_ASKING and now_s() < ends_s:
             self._refresh()
             eventlet.sleep(CHECK_INTERVAL_S)
-            state = self._state(arrived_s)
+            # A read from before a standstill of this process fails after it.
+            has_failed = [task.has_failed_since(arrived_s) for task in self.tasks]
+            state = self._state(arrived_s, has_failed)
         if state is BeliefState.OUTDATED:
             self.refused += 1
             return False
@@ -67,7 +69,7 @@
             self._record_confirmed(arrived_s)
         return True
 
-    def _state(self, arrived_s: float) -> BeliefState:
+    def _state(self, arrived_s: float, is_lost: list[bool]) -> BeliefState:
         ages_s = [task.mirror.age_s(arrived_s) for task in self.tasks]
         states = {
             evaluate_belief(
@@ -75,9 +77,9 @@
                 self.bound_s,
                 # Any answer of the store shows that it works.
                 min(self.heard_age_s(task.mirror, arrived_s), *ages_s),
-                task.is_store_lost,
+                is_task_lost,
             )
-            for task, age_s in zip(self.tasks, ages_s, strict=True)
+            for task, age_s, is_task_lost in zip(self.tasks, ages_s, is_lost, strict=True)
         }
         return next(state for state in BY_SEVERITY if state in states)
 
@@ -90,7 +92,7 @@
         self.ask_peers()
         for task in self.tasks:
             if task.mirror.age_s(at_s) > self.bound_s:
-                eventlet.spawn(task.refresh)
+                eventlet.spawn(task.refresh, at_s)
 
     def _record_too_old(self, at_s: float, state: BeliefState) -> None:
         if self._is_too_old:
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -63,6 +63,9 @@
     _read_latency_s: float = 0.0
     # The confirmation at which peers were last asked for a later one.
     _asked_confirmed_s: float = NEVER_CONFIRMED_S
+    # When the latest read began, and the latest one that failed.
+    _read_began_s: float = NEVER_CONFIRMED_S
+    _failed_read_began_s: float = NEVER_CONFIRMED_S
     # Set while a read runs, for others that need its result.
     _running_read: Event | None = None
 
@@ -80,19 +83,32 @@
         """Start to watch as well, whenever this process is the first reader of its zone."""
         eventlet.spawn(run_steps, f"watch of {self.mirror.prefix}", self._watch)
 
-    def refresh(self) -> bool:
-        """Confirm the mirror by the store now and return whether this succeeded."""
+    def has_failed_since(self, since_s: float) -> bool:
+        """Return whether the latest read failed and began at a time or later."""
+        if self._is_store_lost and self._failed_read_began_s >= since_s:
+            return True
+        return self.confirmer is not None and self.confirmer.has_failed_since(since_s)
+
+    def refresh(self, begun_after_s: float = NEVER_CONFIRMED_S) -> bool:
+        """Confirm the mirror by the store now and return whether this succeeded.
+
+        A running read that began before a time is only joined if it succeeds.
+        """
         if self.confirmer is not None and self.mirror.has_snapshot:
-            if not self.confirmer.refresh():
+            if not self.confirmer.refresh(begun_after_s):
                 return False
             if self.mirror.confirmed_s >= self.confirmer.mirror.confirmed_s:
                 return True
             if self.mirror.age_s(now_s()) < self._max_long_age_s():
                 self.ask_peers()
                 return False
-        if self._running_read is not None:
-            return self._running_read.wait()
+        while self._running_read is not None:
+            is_recent = self._read_began_s >= begun_after_s
+            succeeded = self._running_read.wait()
+            if succeeded or is_recent:
+                return succeeded
         self._running_read = running_read = Event()
+        self._read_began_s = now_s()
         succeeded = False
         try:
             succeeded = self._read()
@@ -161,6 +177,7 @@
         try:
             snapshot = self.store.read(self.mirror.prefix)
         except BackendError as error:
+            self._failed_read_began_s = self._read_began_s
             self._record_lost(str(error))
             return False
         self._record_regained()
--- a/daisystack/tests/test_belief_gate.py
+++ b/daisystack/tests/test_belief_gate.py
@@ -21,9 +21,10 @@
 
 BOUND_S = 3.0
 NEVER_S = float("inf")
+SEEDS = range(1, 6)
 
 
-def play(action):
+def play(action, seed=1):
     """Return the result of an action on a settled fleet of nine entries in three zones."""
 
     def run():
@@ -31,7 +32,7 @@
         fleet.start(4.0)
         return action(fleet, list(fleet.machines.values())[4])
 
-    return run_in_passed_time(run)
+    return run_in_passed_time(run, seed)
 
 
 def ask(machine):
@@ -77,6 +78,28 @@
         self.assertEqual(version, 17)
         self.assertLess(took_s, MAX_WAIT_S)
 
+    def test_a_read_from_before_a_standstill_does_not_show_that_the_store_is_lost(self):
+        """Guards against a decision on an old copy because an earlier read failed."""
+
+        def action(fleet, machine):
+            machine.is_cut_off = True
+            eventlet.sleep(3.5)
+            fleet.publish(17, 240)
+            eventlet.sleep(3.5)
+            fleet.store.silence_s = 0.03
+            for task in machine.entry.mirror_tasks:
+                eventlet.spawn(task.refresh)
+            eventlet.sleep(0.02)
+            machine.is_cut_off = False
+            for task in machine.entry.mirror_tasks:
+                task._is_store_lost = False
+            return ask(machine)
+
+        for seed in SEEDS:
+            is_current, took_s, version = play(action, seed)
+            self.assertEqual((is_current, version), (True, 17))
+            self.assertLess(took_s, MAX_WAIT_S)
+
     def test_an_entry_that_knows_of_fresher_copies_and_gets_none_refuses(self):
         """Guards against decisions by an old configuration beside peers with a newer one."""
 
