Show by a failing test why callers leave streams at a machine that stands still

Entries abandon most streams there after 0.8 to 1.2 s ('its machine stands still'); 18 stay without a first event and end as caller_gone after 2.4 s with one or two attempts, and are run at 29.862 s. An attempt is abandoned only if the retry budget and another upstream's slots allow it; else nothing tells the caller.

Ruled out: probes of the machine (others of the same engine were abandoned), closes that come late (the engine can't read them while it stands still).

--- a/daisystack/tests/test_standstill.py
+++ b/daisystack/tests/test_standstill.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from daisystack.core.requests import RequestState
+from daisystack.core.requests import MIN_RETRY_TIME_S, RequestState
 from daisystack.core.traffic import RequestKind
+from daisystack.runtime.clock import now_s
 from daisystack.testing.direct import (
     RecordingResponder,
     build_engine_profile,
@@ -23,6 +24,8 @@
     b"Daisystack-Version: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
+TIMEOUT_S = 1.6
+
 
 def event(number):
     return b"id: %d\ndata: x\n\n" % number
@@ -99,7 +102,12 @@
         servers = [ScriptedServer([script]) for script in (first, second)]
         for server in servers:
             self.addCleanup(server.close)
-        defaults = {"service": "llm", "is_resumable": True, "timeout_s": 1.6, "objective_s": 0.0}
+        defaults = {
+            "service": "llm",
+            "is_resumable": True,
+            "timeout_s": TIMEOUT_S,
+            "objective_s": 0.0,
+        }
         policy = build_policy(build_route(RequestKind.STREAM, **(defaults | route)))
         engine = {"service": "llm", "has_engine": True, "version": 1, "slots": 16}
         # The upstream in the entry's own zone is tried first.
@@ -139,6 +147,13 @@
         self.assertEqual(responder.status, 504)
         self.assertEqual(self.received_requests, [])
 
+    def test_caller_of_a_stream_that_cannot_leave_is_told_in_time_to_retry(self):
+        """Guards against callers that wait at a machine that stands still until they give up."""
+        started_s = now_s()
+        responder = self.serve(stall_after(), self.finish_with(1, 2), retry_slack=0.0)
+        self.assertIn(responder.status, (502, 504))
+        self.assertLess(now_s() - started_s, TIMEOUT_S - MIN_RETRY_TIME_S)
+
 
 if __name__ == "__main__":
     unittest.main()
