Answer the callers of streams at a machine that stands still before they give up

An attempt at a machine that stands still is abandoned only if another one may follow. Else it was ended at the request's deadline, which the caller counts from an earlier moment, so that the answer always came after it had left.

Change: a repeatable request without any event, whose machine has been silent for ABANDON_AFTER_S (0.8 s), ends with 504 in the last 0.3 s before its deadline. A wait is checked every 0.2 s. No other attempt follows, as none could end in time. Requests with events, those that may run only once, and plain upstreams wait as before.

Weighed: ending it once the machine has stood still for as long as the request has left would give callers more time, but an agent that was killed beside a busy engine looks the same, and answers would be lost.

--- a/daisystack/core/requests.py
+++ b/daisystack/core/requests.py
@@ -127,7 +127,8 @@
         self.outcomes.append(outcome)
         if outcome.end is AttemptEnd.ANSWERED:
             return Done()
-        if now_s >= self.deadline_s - MIN_RETRY_TIME_S:
+        is_late = now_s >= self.deadline_s - MIN_RETRY_TIME_S
+        if is_late or outcome.end is AttemptEnd.DEADLINE:
             return self.give_up(outcome)
         if outcome.end is AttemptEnd.STILL_RUNNING:
             # Waiting for the run in progress adds no load and does not count as a retry.
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -23,6 +23,9 @@
 
 __all__ = ["AttemptGuard"]
 
+# A wait is checked every 0.2 s, and the answer must reach the caller before it gives up.
+STUCK_ANSWER_MARGIN_S = 0.3
+
 
 @define(eq=False)
 class AttemptGuard:
@@ -60,11 +63,20 @@
         if self._can_leave_stuck(at_s):
             end = AttemptEnd.ANSWER_CUT if self.sent.is_prefilled else AttemptEnd.NO_ANSWER
             raise AttemptFailed(end, "its machine stands still")
+        if self._is_hopeless(at_s):
+            reason = "its machine stands still and no other upstream can accept it"
+            raise AttemptFailed(AttemptEnd.DEADLINE, reason)
 
     def _must_withdraw(self, now_s: float) -> bool:
         deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, now_s)
         return must_withdraw(self.sent, deadline_s, now_s)
 
+    def _is_hopeless(self, now_s: float) -> bool:
+        """Return whether a stuck request must end so that its caller hears of it in time."""
+        if now_s < self.state.deadline_s - STUCK_ANSWER_MARGIN_S or self.sent.is_prefilled:
+            return False
+        return self.state.repeatable and self.placement.is_stuck(self.sent, now_s)
+
     def _can_leave_stuck(self, now_s: float) -> bool:
         """Return whether an attempt is stuck and another upstream can accept its request now.
 
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -455,7 +455,8 @@
         elif state.verdict is Verdict.NOT_RUN:
             raise local_answer
         else:
-            status = 504 if now_s() >= state.deadline_s else 502
+            has_timed_out = state.outcomes[-1].end is AttemptEnd.DEADLINE
+            status = 504 if has_timed_out or now_s() >= state.deadline_s else 502
             self._fail(runner, summary, state.verdict, status, local_answer.reason)
 
     def _give_up(self, step: GiveUp, context: _RequestContext) -> None:
