Let the relay test wait until each entry knows both runners

The test took one answer of any runner for a sign that the entry knows both; they are published one after the other, and an entry may learn of them in two reads. The request then crashes the first and finds no other upstream.

Evidence: publishing the second runner after that request gives the same picture (502, 'no upstream is there for it', one of two crashed).

Change: the test waits until each entry has forwarded an answer of each runner. What it checks afterwards is as before.

--- a/daisystack/tests/test_platform_relay.py
+++ b/daisystack/tests/test_platform_relay.py
@@ -16,6 +16,7 @@
 REVOKE_BOUND_S = 5.0
 DETECTION_S = 3.0
 HELD_MESSAGE = b"it crashed the upstreams that ran it"
+STAMP = "x-response-stamp"
 # One crash may be missed at first.
 MAX_REPETITIONS = 3
 # Two mesh exchanges.
@@ -38,9 +39,21 @@
             entry |= {"zone": "z1", "version": "v1", "slots": 8, "state": "ready"}
             site.publish(f"servers/{name}", entry | {"cold_left_ms": 0, "seq": 1, "born": 1})
         for index in range(site.entries):
-            site.wait_for(lambda i=index: site.call(i, "GET", "/risk/1").status == 200)
+            self.wait_until_served_by(site, index, names)
         return names
 
+    def wait_until_served_by(self, site, index, names):
+        """Wait until an entry knows all runners, which it may learn of one by one."""
+        unseen = set(names)
+
+        def are_all_seen():
+            answer = site.call(index, "GET", "/risk/1")
+            if answer.status == 200:
+                unseen.discard(answer.headers[STAMP].rpartition(".")[0])
+            return not unseen
+
+        site.wait_for(are_all_seen)
+
     def test_a_request_that_crashed_upstreams_at_one_entry_is_held_at_the_other(self):
         site = self.start()
         names = self.publish_runners(site)
