Show by a failing test that callers abandon a silent stream long before its deadline

The margin must count from the gap, which the adapter can compute from a route's objective and pause.

--- a/daisystack/tests/test_standstill.py
+++ b/daisystack/tests/test_standstill.py
@@ -25,6 +25,8 @@
 )
 
 TIMEOUT_S = 1.6
+# Callers of the platform abandon a stream without events for this long, or longer.
+SHORTEST_ABANDONED_GAP_S = 2.0
 
 
 def event(number):
@@ -154,6 +156,12 @@
         self.assertIn(responder.status, (502, 504))
         self.assertLess(now_s() - started_s, TIMEOUT_S - MIN_RETRY_TIME_S)
 
+    def test_caller_of_a_stream_that_cannot_leave_is_told_before_it_abandons_a_gap(self):
+        """Guards against streams whose callers leave after a gap, long before their deadline."""
+        started_s = now_s()
+        self.serve(stall_after(), self.finish_with(1, 2), retry_slack=0.0, timeout_s=3.0)
+        self.assertLess(now_s() - started_s, SHORTEST_ABANDONED_GAP_S)
+
 
 if __name__ == "__main__":
     unittest.main()
