Wait for running calls before the config spread test changes a partitioned side

The test checks the sides of a call when it begins. A call that began before the partition may end after the other side took revision 6, and so tell of it; the pull that follows names no caller and isn't held back. The entry then has revision 6 and keeps it, rightly.

Change: the test waits until the calls from before the partition have ended, and only then publishes revision 6. What is checked is as before.

--- a/daisystack/tests/test_config_spread.py
+++ b/daisystack/tests/test_config_spread.py
@@ -30,6 +30,7 @@
         self.services = [FakeConfigService(is_down=True) for _ in range(size)]
         self.entries = []
         self.sides = {}
+        self.running_calls = set()
 
     def build_document(self, revision):
         raw = build_raw_document(
@@ -78,7 +79,19 @@
         own_side, peer_side = self.sides.get(_caller_id(arguments)), self.sides.get(link.address)
         if own_side is not None and peer_side is not None and own_side != peer_side:
             raise PeerError("the peers are on different sides of the partition")
-        return REAL_CALL(link, method, *arguments)
+        token = object()
+        self.running_calls.add(token)
+        try:
+            return REAL_CALL(link, method, *arguments)
+        finally:
+            self.running_calls.discard(token)
+
+    def wait_for_running_calls(self):
+        """Wait for calls from before a partition, which would carry later news across it."""
+        earlier = set(self.running_calls)
+        with eventlet.Timeout(WAIT_TIMEOUT_S):
+            while earlier & self.running_calls:
+                eventlet.sleep(0.05)
 
 
 REAL_CALL = PeerLink.call
@@ -139,6 +152,7 @@
             for index in range(4):
                 side = index % 2
                 group.sides[f"e{index + 1}"] = group.sides[group.peer_addresses[index]] = side
+            group.wait_for_running_calls()
             for index, service in enumerate(group.services):
                 service.document = group.build_document(6 if index % 2 else 1)
             group.wait_for_revisions(1, 6, 1, 6)
