Part placement by concern, and read the published fields of homes, cold starts and machine limits

Cause: the new customers' terms concern which upstreams may be used, for how long and by whom. placement.py held records, counts, prediction, health, eligibility and choice in one class, so that these parts could not be built side by side; and the adapter dropped the fields that they need.

Change: the folder core/placement has one module each; Placement composes them. Routes and workspaces carry their allowed regions, services their cold start and its limit, engines their memory in tokens, upstreams how long they are cold, and the settings the regions of zones, the bounds and the machine's limits. Nothing decides by them yet.

--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 __all__ = ["DirectEntrySettings", "ProcessIdentity", "WeightAgentSettings"]
 
@@ -42,6 +44,18 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    # Region of each availability zone.
+    region_by_zone: Mapping[str, str] = field(factory=dict)
+    # Requests to an evacuated zone must have ended to be sent within this time; None: not bounded.
+    evacuation_bound_s: float | None = None
+    # A cold upstream gets at most its limit times this factor, plus the slack, in one second; None
+    # if its limit does not bind.
+    cold_overrun: float | None = None
+    cold_slack: float = 0.0
+    # Limits of this process's machine; 0 if not stated.
+    memory_bytes: float = 0.0
+    link_bytes_per_s: float = 0.0
+    cpu_cores: float = 0.0
 
 
 @frozen
--- /dev/null
+++ b/daisystack/core/placement/prediction.py
@@ -0,0 +1,97 @@
+"""Predict how long requests take at engines from profiles, reports and own counts."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from daisystack.core.engine_latency import EngineLoad, predict_first_event_s, predict_service_time_s
+from daisystack.core.placement.counts import RequestCounts
+from daisystack.core.placement.records import DirectUpstream, PlacementRequirements
+from daisystack.core.placement.view import UpstreamView
+from daisystack.core.traffic import EngineProfile
+
+__all__ = ["Prediction"]
+
+# Waits for a slot vary by this factor. When many entries see an idle engine at the same moment, as
+# after a pause of its machine, their requests wait up to a second longer than predicted.
+START_WAIT_FACTOR = 2.0
+# Answers of an engine with full slots vary by this factor around the prediction.
+RUN_TIME_FACTOR = 1.5
+
+
+@define
+class Prediction:
+    """Predict first events, ends and delayed loads of requests at engines."""
+
+    view: UpstreamView
+    counts: RequestCounts
+
+    def first_event_s(
+        self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
+    ) -> float | None:
+        """Predict the time to the first event in seconds; None for a plain upstream."""
+        profile = self.view.profiles.get(upstream.service)
+        if profile is None:
+            return None
+        load = self.engine_load(upstream, profile, now_s)
+        return predict_first_event_s(profile, load, requirements.prompt_tokens)
+
+    def engine_load(
+        self, upstream: DirectUpstream, profile: EngineProfile, now_s: float
+    ) -> EngineLoad:
+        """Return the load of an engine, requests included that no report shows yet."""
+        pending = [sent for sent in self.counts.own_at(upstream.id) if not sent.is_prefilled]
+        tokens = sum(sent.prompt_tokens for sent in pending)
+        status = self.view.fresh_status(upstream.id, now_s)
+        if status is not None:
+            reported = sum(1 for sent in pending if sent.sent_s <= status.read_s)
+            # Queued requests beyond those of this entry were sent by other entries.
+            tokens += max(0, status.queued - reported) * profile.typical_prompt_tokens
+        requests = self.counts.in_flight(upstream.id, now_s)
+        slowdown = status.slowdown if status is not None else 1.0
+        return EngineLoad(upstream.slots, requests, tokens, slowdown)
+
+    def ends_before(
+        self,
+        upstream: DirectUpstream,
+        requirements: PlacementRequirements,
+        deadline_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether even a long answer should be complete before a deadline."""
+        profile = self.view.profiles.get(upstream.service)
+        if profile is None:
+            return False
+        load = self.engine_load(upstream, profile, now_s)
+        expected_s = predict_first_event_s(profile, load, requirements.prompt_tokens)
+        tokens = requirements.max_answer_tokens or requirements.answer_tokens
+        run_s = predict_service_time_s(profile, load, tokens)
+        end_s = now_s + START_WAIT_FACTOR * expected_s + RUN_TIME_FACTOR * run_s
+        return end_s <= deadline_s
+
+    def run_until_s(
+        self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
+    ) -> float:
+        """Return the deadline to give to an engine for the end of its version; inf for none."""
+        if not upstream.has_engine or requirements.version_deadline_s is None:
+            return float("inf")
+        deadline_s = requirements.version_deadline_s(self.view.version_of(upstream, now_s))
+        if self.ends_before(upstream, requirements, deadline_s, now_s):
+            return deadline_s
+        return float("inf")
+
+    def overrun_s(
+        self,
+        upstream: DirectUpstream,
+        requirements: PlacementRequirements,
+        expected_s: float,
+        now_s: float,
+    ) -> float:
+        """Return for how many seconds a request would delay the loading of other weights."""
+        status = self.view.fresh_status(upstream.id, now_s)
+        if status is None or status.loads_at_s is None:
+            return 0.0
+        profile = self.view.profiles[upstream.service]
+        load = self.engine_load(upstream, profile, now_s)
+        service_time_s = predict_service_time_s(profile, load, requirements.answer_tokens)
+        return max(0.0, now_s + expected_s + service_time_s - status.loads_at_s)
--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -55,6 +55,8 @@
     priority: int
     is_public: bool
     is_resumable: bool
+    # Regions that may serve its requests; all of them if empty.
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -94,6 +96,8 @@
     layers: int
     chunk_count: int
     chunk_bytes: int
+    # Tokens that the requests at one engine may hold together; 0 if not published.
+    memory_tokens: int = 0
 
 
 @frozen
@@ -105,6 +109,10 @@
     engine: EngineProfile | None = None
     origin_address: str | None = None
     zone: str = ""
+    # An upstream is cold for this long after its start; 0 if it never is.
+    cold_start_s: float = 0.0
+    # Requests per second that a cold upstream takes from all entries; 0 if not published.
+    cold_limit_per_s: float = 0.0
 
 
 @frozen
@@ -124,6 +132,8 @@
     name: str
     keys: frozenset[str]
     priority: int | None = None
+    # Regions that may serve its requests; all of them if empty.
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @frozen(slots=False)
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -85,7 +85,7 @@
         self.policy = publication
         log_event(_logger, PolicyTaken(before, publication.version, change.revision, age_s))
         profiles = {s.name: s.engine for s in publication.services.values() if s.engine}
-        self.placement.profiles = profiles
+        self.placement.update_profiles(profiles)
         for service in publication.services.values():
             if service.engine is not None:
                 first_target = WeightTarget(service.engine.model, service.engine.first_version)
