--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -7,13 +7,8 @@
 
 from daisystack.core.engine_latency import EngineLoad, predict_first_event_s
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
-from daisystack.core.placement import (
-    SEND_RATE_WINDOW_S,
-    UNSEEN_FACTOR,
-    Placement,
-    PlacementRequirements,
-    Refusal,
-)
+from daisystack.core.placement import Placement, PlacementRequirements, Refusal
+from daisystack.core.placement.counts import SEND_RATE_WINDOW_S, UNSEEN_FACTOR
 from daisystack.testing.direct import build_engine_profile, build_upstream
 
 PROMPT = PlacementRequirements(
