--- a/daisystack/tests/test_placement.py
+++ b/daisystack/tests/test_placement.py
@@ -27,8 +27,9 @@
     return EngineStatus(address=f"{id}:1", read_s=read_s, **(defaults | overrides))
 
 
-def build_placement(*engines):
-    placement = Placement(random.Random(1), EngineStatusTable(), {"llm": build_engine_profile()})
+def build_placement(*engines, zone=""):
+    profiles = {"llm": build_engine_profile()}
+    placement = Placement(random.Random(1), EngineStatusTable(), profiles, zone=zone)
     for engine in engines:
         placement.update_upstream(engine)
     return placement
@@ -179,8 +180,7 @@
         engines += [
             build_engine(f"next{i}", zone=zone_of_next, version=2, slots=12) for i in range(2)
         ]
-        placement = build_placement(*engines)
-        placement.zone = "z1"
+        placement = build_placement(*engines, zone="z1")
         for other in range(self.ENTRIES - 1):
             placement.update_entry_counts(f"e{other}", "z1", {"old1": 4}, 9.9)
         for n in range(self.SENT_BEFORE):
