--- a/daisystack/core/placement/records.py
+++ b/daisystack/core/placement/records.py
@@ -70,6 +70,12 @@
     is_resubmission: bool = False
     # Other requests are placed at the same moment, as after the death of an upstream.
     is_bulk_failover: bool = False
+    # Route and workspace that the request belongs to, and how urgent it is; 0 is first.
+    route: str = ""
+    workspace: str = ""
+    priority: int = 0
+    # Regions whose upstreams may get the request; None if all may.
+    allowed_regions: frozenset[str] | None = None
 
 
 @define(eq=False)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -102,6 +102,8 @@
     request: DirectRequest
     route: Route
     service: str
+    # Workspace that held the caller's key when the request arrived.
+    workspace: Workspace | None
     state: RequestState
     runner: AttemptRunner
     summary: RequestSummary
@@ -180,7 +182,8 @@
         )
         self._budgets.credit(service, now_s())
         runner = AttemptRunner(self.dialect, request, route, responder, state.deadline_s)
-        self._attempt_until_done(_RequestContext(request, route, service, state, runner, summary))
+        context = _RequestContext(request, route, service, workspace, state, runner, summary)
+        self._attempt_until_done(context)
 
     def _attempt_until_done(self, context: _RequestContext) -> None:
         request, summary = context.request, context.summary
@@ -285,6 +288,9 @@
             first_event_time_left_s=max(0.0, left_s) if is_new else None,
             is_resubmission=is_first and summary.spent_before_s > 0.0,
             is_bulk_failover=not is_first,
+            route=route.name,
+            workspace=context.workspace.name if context.workspace else "",
+            priority=self._priority(context.workspace, route),
         )
 
     def _build_guard(
