Add a command that counts requests by second and group from the entries' logs

On-call engineers have only the logs.

Change: 'daisystack load FILES --by route|priority|workspace|size|entry [--json]'. The end of a request now states the objective and urgency of its route, without which the log can't tell a late answer.

--- a/daisystack/cli.py
+++ b/daisystack/cli.py
@@ -12,6 +12,7 @@
 import typer
 
 from daisystack.core.addresses import parse_address
+from daisystack.core.load_table import LoadGroup
 from daisystack.core.settings import (
     AgentSettings,
     EntrySettings,
@@ -150,6 +151,27 @@
     print("\n".join(timeline))
 
 
+@app.command("load")
+def load(
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Log files of the entries; default standard input")
+    ] = None,
+    by: Annotated[LoadGroup, typer.Option(help="Group the requests of a second")] = LoadGroup.ALL,
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON")] = False,
+) -> None:
+    """Count by second who was served, late or refused; exit with status 1 without any request."""
+    from daisystack.load import show_load
+
+    try:
+        has_requests = show_load(files or (), by, as_json)
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED) from None
+    if not has_requests:
+        print("no log line tells of the end of a request", file=sys.stderr)
+        raise typer.Exit(1)
+
+
 @app.command("status")
 def status(
     entry: Annotated[str, typer.Option(envvar="DAISYSTACK_ENTRY", help="ip:port of an entry")],
--- a/daisystack/explain.py
+++ b/daisystack/explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Iterable, Iterator
 from contextlib import ExitStack
 from datetime import datetime
@@ -10,6 +9,7 @@
 
 from daisystack.core.log_lines import read_log_lines
 from daisystack.core.request_timeline import TimelineBuilder, TimelineEntry, TimelineEntryKind
+from daisystack.log_files import open_all
 
 __all__ = ["explain_request"]
 
@@ -27,7 +27,7 @@
     """
     builder = TimelineBuilder()
     with ExitStack() as open_files:
-        for lines in _open_all(paths, open_files):
+        for lines in open_all(paths, open_files):
             builder.add_lines(read_log_lines(lines))
     entries = builder.build(request_id)
     if not entries:
@@ -39,14 +39,6 @@
     ]
 
 
-def _open_all(paths: Iterable[Path], open_files: ExitStack) -> Iterator[Iterable[str]]:
-    path_list = list(paths)
-    if not path_list:
-        yield sys.stdin
-    for path in path_list:
-        yield open_files.enter_context(path.open(encoding="utf-8", errors="replace"))
-
-
 def _format_entry(entry: TimelineEntry, ended_at: datetime) -> str:
     line = entry.line
     offset_s = (line.at - ended_at).total_seconds()
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -169,6 +169,8 @@
         summary.route = route.name
         workspace = self._authorize(policy, route, request)
         summary.workspace = workspace.name if workspace else ""
+        summary.priority = self._priority(workspace, route)
+        summary.objective_s = route.objective_s
         self._check_stopping(route, request)
         summary.spent_before_s = self._resubmissions.elapsed_s(route.name, request.time_left_s)
         service = route.choose_service(self._rng.random())
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -371,6 +371,9 @@
     predicted_first_event_s: float
     first_event_s: float
     took_s: float
+    # Urgency, 0 first, and objective of the request's route.
+    priority: int
+    objective_s: float
 
 
 @frozen(eq=False, repr=False)
--- a/daisystack/runtime/request_summary.py
+++ b/daisystack/runtime/request_summary.py
@@ -30,6 +30,8 @@
     in_flight: int = UNKNOWN
     predicted_first_event_s: float = UNKNOWN
     first_event_s: float = UNKNOWN
+    priority: int = UNKNOWN
+    objective_s: float = UNKNOWN
 
     def build_event(
         self,
@@ -61,4 +63,6 @@
             predicted_first_event_s=self.predicted_first_event_s,
             first_event_s=self.first_event_s,
             took_s=now_s - self.inbound.arrived_s,
+            priority=self.priority,
+            objective_s=self.objective_s,
         )
