Bound the bytes that an entry holds, and read on for callers that are slow

Cause: an entry read a plain answer whole, whatever the others held, and waited for a caller that reads slowly with each event of a stream, so that the upstream's answer stayed unread and was cut off after some seconds.

Ruled out: a limit on connections (an idle one costs little, a body of 4 MB a lot); one bound a connection without a sum (600 connections of 256 KiB are 150 MB).

Change: one budget of a fifth of the stated memory for bodies, answers and what a slow caller has not read. A body that doesn't fit is refused before it is read, with a time of return; it has not run. An answer that can't be held is forwarded in parts; if it ends early, its caller sees that. Up to 256 KiB a connection are kept for a slow caller, so that the upstream can finish.

Without a stated memory nothing is bounded, as before.

--- a/daisystack/runtime/caller_http.py
+++ b/daisystack/runtime/caller_http.py
@@ -13,7 +13,9 @@
 from attrs import define, field, frozen
 
 from daisystack.core.addresses import Address
+from daisystack.core.held_bytes import HeldBytes, Holding
 from daisystack.core.traffic import CallerLimits
+from daisystack.runtime.caller_outbox import CallerGone, CallerOutbox
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import CallerRefused
 from daisystack.runtime.logs import log_event
@@ -25,8 +27,8 @@
 ACCEPT_PAUSE_S = 0.01
 # Length of the kernel's queue of connections not yet accepted.
 BACKLOG = 1024
-# A caller that reads nothing of its response for this long is treated as disconnected.
-SEND_TIMEOUT_S = 10.0
+# Held bytes are given back as answers end, in some tenths of a second.
+RETRY_AFTER_PRESSURE_S = 1.0
 # Limit of bytes read ahead from a caller that pipelines requests.
 MAX_PIPELINED_BYTES = 65_536
 # Colon, space, CR and LF of one header line.
@@ -51,16 +53,13 @@
 _logger = logging.getLogger("daisystack.callers")
 
 
-class CallerGone(Exception):
-    """Raised when the caller has closed its connection or stopped reading."""
-
-
 class _Refused(Exception):
     """Raised to refuse a caller's bytes with a status and close its connection."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 @frozen
@@ -99,8 +98,9 @@
         self._connection.send(h11.Data(data=body))
 
     def finish(self) -> None:
-        """Mark the end of the response."""
+        """Mark the end of the response and wait until it is sent."""
         self._connection.send(h11.EndOfMessage())
+        self._connection.outbox.flush()
         self.is_done = True
 
 
@@ -115,6 +115,7 @@
     handler: Handler
     limits: Callable[[], CallerLimits]
     is_leaving: Callable[[], bool]
+    held: HeldBytes = field(factory=HeldBytes)
     in_progress: int = 0
     accepted_count: int = 0
     _connections: set[_Connection] = field(factory=set)
@@ -156,7 +157,9 @@
     server: CallerServer
     sock: socket.socket
     http: h11.Connection = field(init=False)
+    outbox: CallerOutbox = field(init=False)
     allows_body: bool = True
+    _body_bytes: Holding = field(init=False)
     _is_idle: bool = True
     _pipelined: bytearray = field(factory=bytearray)
     _is_closed_by_caller: bool = False
@@ -164,6 +167,8 @@
     def __attrs_post_init__(self) -> None:
         limit = self.server.limits().max_head_bytes
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self.outbox = CallerOutbox(self.sock, self.server.held)
+        self._body_bytes = Holding(self.server.held)
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -175,6 +180,8 @@
         except (CallerGone, OSError):
             pass
         finally:
+            self.outbox.close()
+            self._body_bytes.release()
             with contextlib.suppress(OSError):
                 self.sock.close()
 
@@ -194,15 +201,8 @@
     def send(self, event: h11.Event) -> None:
         """Send one part of a response; raise CallerGone if the caller can't be reached."""
         out = self.http.send(event)
-        if not out:
-            return
-        try:
-            with eventlet.Timeout(
-                SEND_TIMEOUT_S, CallerGone(f"read nothing for {SEND_TIMEOUT_S} s")
-            ):
-                self.sock.sendall(out)
-        except OSError as error:
-            raise CallerGone(str(error)) from error
+        if out:
+            self.outbox.send(out)
 
     def _serve_one(self) -> bool:
         try:
@@ -220,6 +220,7 @@
         finally:
             watcher.kill()
             self.server.in_progress -= 1
+            self._body_bytes.release()
         if not responder.is_done or self._is_closed_by_caller:
             return False
         self._is_idle = True
@@ -234,6 +235,7 @@
         _check_framing(head)
         _check_size(head, limits.max_head_bytes)
         self.allows_body = head.method != b"HEAD"
+        self._check_room(head)
         body = self._read_body(limits)
         target = head.target.decode("latin-1")
         return InboundRequest(
@@ -266,6 +268,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if isinstance(event, h11.Data):
+                self._hold(len(event.data))
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise _Refused(413, f"body exceeds {limits.max_body_bytes} bytes")
@@ -279,6 +282,16 @@
                     raise CallerGone("closed in the middle of the request body")
                 raise _Refused(408, "body not received in time")
 
+    def _check_room(self, head: h11.Request) -> None:
+        """Refuse a body that doesn't fit before any of it is read."""
+        lengths = [int(value) for name, value in head.headers if name == b"content-length"]
+        if lengths and not self.server.held.fits(lengths[0]):
+            raise _Refused(503, "too many bytes are held", RETRY_AFTER_PRESSURE_S)
+
+    def _hold(self, count_bytes: int) -> None:
+        if not self._body_bytes.try_grow(count_bytes):
+            raise _Refused(503, "too many bytes are held", RETRY_AFTER_PRESSURE_S)
+
     def _next_event(self) -> object:
         try:
             return self.http.next_event()
@@ -319,10 +332,13 @@
             return
         body = f'{{"error": "{refused.status}"}}\n'.encode()
         headers = [(b"Content-Length", str(len(body)).encode()), (b"Connection", b"close")]
+        if refused.retry_after_s is not None:
+            headers.append((b"Retry-After", f"{refused.retry_after_s:.2f}".encode()))
         with contextlib.suppress(CallerGone, h11.LocalProtocolError):
             self.send_head(refused.status, headers)
             self.send(h11.Data(data=body))
             self.send(h11.EndOfMessage())
+            self.outbox.flush()
 
 
 def _check_size(head: h11.Request, max_bytes: int) -> None:
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from itertools import chain
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from daisystack.backends import RequestDialect
 from daisystack.core.direct_request import DirectAnswer, DirectRequest
 from daisystack.core.event_stream import EventSplitter, StreamEvent
+from daisystack.core.held_bytes import HeldBytes, Holding
 from daisystack.core.placement import DirectUpstream, SentRequest
 from daisystack.core.traffic import RequestKind, Route, Workspace
 from daisystack.core.verdicts import AttemptEnd
 from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import Responder
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.direct_http import AnswerHead, DirectExchange
+from daisystack.runtime.direct_http import MAX_BODY_BYTES, AnswerHead, DirectExchange
 from daisystack.runtime.upstream_http import AttemptFailed
 
 __all__ = ["AttemptResult", "AttemptRunner"]
@@ -58,6 +60,7 @@
     status: int = 0
     failed_answer: _FailedAnswer | None = None
     exact_version: int | None = None
+    held: HeldBytes = field(factory=HeldBytes)
     first_event_sent_s: float | None = None
     _sent: SentRequest | None = None
     _on_answer: Callable[[DirectAnswer], None] = lambda answer: None
@@ -145,7 +148,40 @@
     ) -> AttemptResult:
         # Its upstream has begun; a stream shows that by its first event.
         self._sent.record_received(now_s())
-        body = exchange.read_body()
+        holding = Holding(self.held)
+        try:
+            return self._forward_held(exchange, answer, is_framed, holding)
+        finally:
+            holding.release()
+
+    def _forward_held(
+        self, exchange: DirectExchange, answer: DirectAnswer, is_framed: bool, holding: Holding
+    ) -> AttemptResult:
+        """Forward an answer once it is complete, or part by part if it can't be held."""
+        is_failure = answer.status >= FIRST_SERVER_ERROR or self.has_started
+        parts = exchange.iter_body(MAX_BODY_BYTES)
+        body = bytearray()
+        for data in parts:
+            if not holding.try_grow(len(data)):
+                if is_failure:
+                    raise AttemptFailed(AttemptEnd.ANSWER_CUT, "too many bytes are held")
+                return self._forward_parts(answer, is_framed, chain((bytes(body), data), parts))
+            body += data
+        return self._forward_whole(answer, is_framed, bytes(body))
+
+    def _forward_parts(
+        self, answer: DirectAnswer, is_framed: bool, parts: Iterable[bytes]
+    ) -> AttemptResult:
+        # A body of unknown length that ends early lacks its last chunk.
+        self.status = answer.status
+        self.responder.send_head(answer.status, list(answer.headers))
+        for data in parts:
+            if data:
+                self.responder.send_data(data)
+        self.responder.finish()
+        return AttemptResult(AttemptEnd.ANSWERED, "", answer.status, is_framed=is_framed)
+
+    def _forward_whole(self, answer: DirectAnswer, is_framed: bool, body: bytes) -> AttemptResult:
         if answer.status >= FIRST_SERVER_ERROR or self.has_started:
             self.failed_answer = _FailedAnswer(answer, body)
             reason = f"upstream returned status {answer.status}"
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -14,6 +14,7 @@
 from daisystack.core.crash_hold import CrashHold
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.engine_status import EngineStatusTable
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.membership import Member, MemberRole, usable_entries
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
@@ -103,8 +104,13 @@
         self.requests = self._build_requests(crashes)
         self._connect_rate_limits(self.requests.rate_limits)
         address = parse_address(self.settings.caller_address)
+        self.requests.held = HeldBytes.within_memory(self.settings.memory_bytes)
         self.server = CallerServer(
-            address, self.requests.handle, self._limits, lambda: self.is_leaving
+            address,
+            self.requests.handle,
+            self._limits,
+            lambda: self.is_leaving,
+            self.requests.held,
         )
         self.metrics = MetricsServer(self.settings.metrics_address, self._gauge_samples)
         self._record_metrics(EntryMetrics(self.metrics.registry))
@@ -342,6 +348,12 @@
         return samples + [
             ("daisystack_policy_version", "Version in force", policy.version if policy else 0),
             ("daisystack_in_progress", "Requests in progress", self.server.in_progress),
+            ("daisystack_held_bytes", "Bytes held of bodies", self.requests.held.held_bytes),
+            (
+                "daisystack_held_bytes_turned_away",
+                "Times that bytes were not held for lack of room",
+                self.requests.held.turned_away,
+            ),
             ("daisystack_ready", "Whether callers may be sent here", float(self.is_ready)),
             ("daisystack_live_entries", "Other entries alive", len(self.mesh.live_entries(at_s))),
             ("daisystack_retries_left", "Retries left in the window", self.requests.retries_left()),
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -17,7 +17,7 @@
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.upstream_http import AttemptFailed
 
-__all__ = ["AnswerHead", "DirectExchange"]
+__all__ = ["MAX_BODY_BYTES", "AnswerHead", "DirectExchange"]
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -108,24 +108,19 @@
             AttemptEnd.NO_ANSWER, f"got more than {MAX_INTERIM_RESPONSES} interim responses"
         )
 
-    def iter_body(self) -> Iterator[bytes]:
-        """Yield the body as it arrives; raise AttemptFailed if it is truncated."""
+    def iter_body(self, max_bytes: float = float("inf")) -> Iterator[bytes]:
+        """Yield the body as it arrives; raise AttemptFailed if it is truncated or too large."""
+        received = 0
         while True:
             event = self._next_event(AttemptEnd.ANSWER_CUT)
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, "closed within the answer")
-            yield bytes(event.data)
-
-    def read_body(self) -> bytes:
-        """Return the whole body; raise AttemptFailed if it is truncated or over MAX_BODY_BYTES."""
-        body = bytearray()
-        for data in self.iter_body():
-            body += data
-            if len(body) > MAX_BODY_BYTES:
+            received += len(event.data)
+            if received > max_bytes:
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, "answer is too large")
-        return bytes(body)
+            yield bytes(event.data)
 
     def close(self) -> None:
         """Close the connection; the upstream drops the request when it notices."""
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -12,6 +12,7 @@
 
 from daisystack.backends import RequestDialect
 from daisystack.core.direct_request import DirectAnswer, DirectRequest, InvalidRequest
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.mirror import Mirror
 from daisystack.core.placement import (
     DirectUpstream,
@@ -129,6 +130,7 @@
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
     on_expired_start: Callable[[ExpiredVersionStarted], None] = lambda event: None
+    held: HeldBytes = field(factory=HeldBytes)
     rate_limits: RateLimitWatch = field(init=False)
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
@@ -183,7 +185,9 @@
             has_owner=False,
         )
         self._budgets.credit(service, now_s())
-        runner = AttemptRunner(self.dialect, request, route, responder, state.deadline_s)
+        runner = AttemptRunner(
+            self.dialect, request, route, responder, state.deadline_s, held=self.held
+        )
         context = _RequestContext(request, route, service, workspace, state, runner, summary)
         self._attempt_until_done(context)
 
