Serve requests within the homes of their routes and workspaces, and evacuate zones

Cause: allowed regions of routes and workspaces were read and not used, the order to evacuate a zone was not read, and the directory ignored the host and region that a caller asks with.

Change: upstreams are chosen, and checked again at the send, by the region of their zone and the homes in force; evacuated zones get no new requests; the directory names entries in the caller's region or the homes of the host. Without homes and evacuations nothing changes.

Ruled out: a check at the choice alone, since a connection takes time and a configuration may come meanwhile.

--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from daisystack.core.config_keeper import PublishedDocument
     from daisystack.core.direct_request import DirectAnswer, DirectRequest
+    from daisystack.core.evacuations import ZoneEvacuation
     from daisystack.core.gate import EngineReport
     from daisystack.core.mirror import Change, DocumentVersion, Snapshot
     from daisystack.core.placement import DirectUpstream
@@ -110,7 +111,7 @@
         """
 
 
-Publication: TypeAlias = "TrafficPolicy | DirectUpstream | WeightTarget"
+Publication: TypeAlias = "TrafficPolicy | DirectUpstream | WeightTarget | ZoneEvacuation"
 
 
 class PublicationReader(Protocol):
--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -13,6 +13,7 @@
 from daisystack.core.placement.counts import RequestCounts
 from daisystack.core.placement.eligibility import Eligibility
 from daisystack.core.placement.health import AVOID_S, UpstreamHealth
+from daisystack.core.placement.places import Places
 from daisystack.core.placement.prediction import Prediction
 from daisystack.core.placement.records import (
     DirectUpstream,
@@ -58,6 +59,7 @@
     pauses: UpstreamPauses = field(factory=UpstreamPauses)
     shares: RateShares = field(factory=RateShares)
     zone: str = ""
+    places: Places = field(factory=Places)
     view: UpstreamView = field(init=False)
     counts: RequestCounts = field(init=False)
     prediction: Prediction = field(init=False)
@@ -65,7 +67,7 @@
     eligibility: Eligibility = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.view = UpstreamView(self.engines, self.profiles, self.zone)
+        self.view = UpstreamView(self.engines, self.profiles, self.zone, places=self.places)
         self.counts = RequestCounts(self.view, self.shares)
         self.prediction = Prediction(self.view, self.counts)
         self.health = UpstreamHealth(self.view, self.counts)
@@ -156,9 +158,14 @@
         """Return the version that an engine holds completely, from its agent's report if any."""
         return self.view.version_of(upstream, now_s)
 
-    def may_send(self, upstream: DirectUpstream, now_s: float) -> bool:
-        """Return whether the incarnation that was chosen may still get requests."""
-        return self.eligibility.may_send(upstream, now_s)
+    def may_send(
+        self,
+        upstream: DirectUpstream,
+        now_s: float,
+        allowed_regions: frozenset[str] | None = None,
+    ) -> bool:
+        """Return whether the incarnation that was chosen may still get a request."""
+        return self.eligibility.may_send(upstream, now_s, allowed_regions)
 
     def start_deadline_s(
         self,
@@ -178,7 +185,8 @@
         ]
         if not eligible:
             return self.eligibility.refuse_without_upstream(requirements, now_s)
-        if requirements.exact_version is None and not requirements.excluded:
+        is_usual = requirements.allowed_regions is None and requirements.exact_version is None
+        if is_usual and not requirements.excluded:
             self.counts.count_eligible(requirements.service, eligible)
         preferred = [u for u in eligible if not self._is_avoided(u, now_s)] or eligible
         available = [u for u in preferred if self._has_capacity(u, requirements, now_s)]
--- a/daisystack/core/placement/eligibility.py
+++ b/daisystack/core/placement/eligibility.py
@@ -45,6 +45,8 @@
             return False
         if upstream.id in requirements.excluded:
             return False
+        if not self.view.places.may_serve(upstream.zone, requirements.allowed_regions):
+            return False
         if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
             return False
         is_unlimited = self.shares.limits.is_empty
@@ -93,11 +95,17 @@
         is_near = upstream.zone == requirements.zone
         return is_near and self.counts.in_flight(upstream.id, now_s) < upstream.slots
 
-    def may_send(self, upstream: DirectUpstream, now_s: float) -> bool:
-        """Return whether the incarnation that was chosen may still get requests."""
+    def may_send(
+        self, upstream: DirectUpstream, now_s: float, allowed_regions: frozenset[str] | None
+    ) -> bool:
+        """Return whether the incarnation that was chosen may still get a request."""
         present = self.view.upstreams.get(upstream.id)
         if present is None or not present.is_ready or present.started_ms != upstream.started_ms:
             return False
+        # The request goes to the address that was published with the zone at the choice.
+        zones = {upstream.zone, present.zone}
+        if not all(self.view.places.may_serve(zone, allowed_regions) for zone in zones):
+            return False
         return not self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s)
 
     def start_deadline_s(
@@ -115,11 +123,16 @@
 
     def refuse_without_upstream(self, requirements: PlacementRequirements, now_s: float) -> Refusal:
         """Return why no upstream may get a request."""
-        incarnations = [
-            u.incarnation
+        ready = [
+            u
             for u in self.view.upstreams.values()
             if u.service == requirements.service and u.is_ready
         ]
+        places, allowed_regions = self.view.places, requirements.allowed_regions
+        refusal = places.explain_refusal(ready, allowed_regions)
+        if refusal is not None:
+            return refusal
+        incarnations = [u.incarnation for u in ready if places.may_serve(u.zone, allowed_regions)]
         # Other upstreams may accept requests again long before a limit allows the next one.
         if incarnations and not any(self.shares.may_send(key, now_s) for key in incarnations):
             return_s = self.shares.plan_return_s(requirements.service, incarnations, now_s)
--- a/daisystack/core/placement/view.py
+++ b/daisystack/core/placement/view.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
+from daisystack.core.placement.places import Places
 from daisystack.core.placement.records import DirectUpstream
 from daisystack.core.traffic import EngineProfile
 
@@ -22,6 +23,7 @@
     profiles: dict[str, EngineProfile]
     zone: str = ""
     upstreams: dict[str, DirectUpstream] = field(factory=dict)
+    places: Places = field(factory=Places)
 
     def fresh_status(self, upstream_id: str, now_s: float) -> EngineStatus | None:
         """Return the report of an engine unless it is too old to tell the load."""
--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from functools import cached_property
 
 from attrs import field, frozen
@@ -158,6 +158,10 @@
                 return route
         return None
 
+    def routes_at(self, host: str) -> Collection[Route]:
+        """Return the routes of a host."""
+        return self._by_host.get(host, {}).values()
+
     def find_workspace(self, api_key: str) -> Workspace | None:
         """Return the workspace that holds an API key, or None."""
         return self._by_key.get(api_key)
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -48,7 +48,9 @@
         at_s = now_s()
         if not self.is_authorized():
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its key is no longer confirmed")
-        if not self.placement.may_send(self.upstream, at_s):
+        # The configuration in force may allow other regions than the one at the choice.
+        allowed_regions = self.build_requirements(at_s).allowed_regions
+        if not self.placement.may_send(self.upstream, at_s, allowed_regions):
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its upstream accepts no more requests")
         if self._must_withdraw(at_s):
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its version ends before it can begin")
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -14,9 +14,10 @@
 from daisystack.core.crash_hold import CrashHold
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.engine_status import EngineStatusTable
-from daisystack.core.membership import Member, MemberRole, usable_entries
+from daisystack.core.membership import Member, MemberRole
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import Placement
+from daisystack.core.placement.places import Places
 from daisystack.core.readers import mirror_bound_s
 from daisystack.core.stopping import StopTimes
 from daisystack.core.targets import Targets
@@ -28,6 +29,7 @@
 from daisystack.runtime.crash_watch import CrashWatch
 from daisystack.runtime.direct_metrics import EntryMetrics
 from daisystack.runtime.direct_requests import DirectRequests, DirectRequestSettings
+from daisystack.runtime.directory import Directory
 from daisystack.runtime.engine_datagrams import EngineRelay
 from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
 from daisystack.runtime.logs import log_event
@@ -45,8 +47,6 @@
 
 _logger = logging.getLogger("daisystack.entry")
 
-# With two entries in a zone, one can fail and callers still find another in their zone.
-MIN_ZONE_ENTRIES = 2
 READER_DUTY = "reader"
 # Keys must be confirmed this much earlier than the revocation bound, to allow for the time
 # that a request is in flight.
@@ -76,6 +76,7 @@
     published: PublishedState = field(init=False)
     mesh: MeshTask = field(init=False)
     requests: DirectRequests = field(init=False)
+    directory: Directory = field(init=False)
     server: CallerServer = field(init=False)
     mirror_tasks: list[MirrorTask] = field(init=False)
     gate: BeliefGate = field(init=False)
@@ -89,7 +90,13 @@
         pauses = UpstreamPauses(self.settings.publication_bound_s)
         zone = self.settings.identity.zone
         rng = random.SystemRandom()
-        self.placement = Placement(rng, EngineStatusTable(), pauses=pauses, zone=zone)
+        self.placement = Placement(
+            rng,
+            EngineStatusTable(),
+            pauses=pauses,
+            zone=zone,
+            places=Places(self.settings.region_by_zone),
+        )
         targets = Targets(self.settings.publication_bound_s)
         self.published = PublishedState(self.reader, self.placement, targets)
         own = self._build_own_member()
@@ -101,6 +108,12 @@
         self.published.on_target.append(self.pieces.start_share_pull)
         self.mesh.on_target.append(self.pieces.start_share_pull)
         self.requests = self._build_requests(crashes)
+        self.directory = Directory(
+            lambda: self.mesh.own,
+            self.mesh.live_entries,
+            lambda: self.published.policy,
+            self.placement.places,
+        )
         self._connect_rate_limits(self.requests.rate_limits)
         address = parse_address(self.settings.caller_address)
         self.server = CallerServer(
@@ -240,11 +253,9 @@
         origins = policy.origins() if policy else []
         return origins[0].max_connections if origins else 0
 
-    def addresses_for(self, zone: str) -> list[str]:
-        """Return the addresses that callers of a zone should use."""
-        entries = self.mesh.live_entries(now_s())
-        usable = usable_entries(self.mesh.own, entries, zone, MIN_ZONE_ENTRIES)
-        return [member.caller_address for member in usable]
+    def addresses_for(self, zone: str, host: str = "", region: str = "") -> list[str]:
+        """Return the addresses that callers of a host in a zone and region should use."""
+        return self.directory.addresses_for(zone, host, region)
 
     def apply_identity(self, identity: ProcessIdentity) -> None:
         """Apply reloaded settings; only the seeds can change while a process runs."""
@@ -367,6 +378,25 @@
             ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
             ("daisystack_peer_bytes", "Piece bytes from entries", self.pieces.peer_bytes),
             ("daisystack_agent_bytes", "Piece bytes from agents", self.pieces.agent_bytes),
+            (
+                "daisystack_evacuated_zones",
+                "Zones whose upstreams get no requests",
+                len(self.placement.places.evacuations.zones),
+            ),
+            (
+                "daisystack_directory_outside_homes",
+                "Answers that name entries outside a host's homes",
+                self.directory.answers_outside,
+            ),
+            *(
+                (
+                    "daisystack_place_refusals",
+                    "Requests refused because of where the upstreams lie",
+                    count,
+                    {"reason": reason},
+                )
+                for reason, count in self.requests.refusals_by_reason.items()
+            ),
             *(
                 (
                     "daisystack_rate_limit_per_second",
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -12,6 +13,7 @@
 
 from daisystack.backends import RequestDialect
 from daisystack.core.direct_request import DirectAnswer, DirectRequest, InvalidRequest
+from daisystack.core.homes import find_homes
 from daisystack.core.mirror import Mirror
 from daisystack.core.placement import (
     DirectUpstream,
@@ -20,6 +22,7 @@
     Refusal,
     SentRequest,
 )
+from daisystack.core.placement.places import PLACE_REASONS
 from daisystack.core.requests import (
     AttemptOutcome,
     Done,
@@ -126,6 +129,8 @@
     # When this process started; it may use less of the retry budget for a while.
     started_s: float = float("-inf")
     outcomes: dict[tuple[str, int], int] = field(factory=dict)
+    # Requests refused because of where the upstreams lie.
+    refusals_by_reason: Counter[str] = field(factory=Counter)
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
     on_expired_start: Callable[[ExpiredVersionStarted], None] = lambda event: None
@@ -261,6 +266,8 @@
         requirements = self._build_requirements(context, at_s)
         chosen = self.placement.choose(requirements, at_s)
         if isinstance(chosen, Refusal):
+            if chosen.reason in PLACE_REASONS:
+                self.refusals_by_reason[chosen.reason] += 1
             raise _LocalAnswer(503, chosen.reason, self._retry_after_s(chosen))
         if not context.state.outcomes:
             summary = context.summary
@@ -291,8 +298,14 @@
             route=route.name,
             workspace=context.workspace.name if context.workspace else "",
             priority=self._priority(context.workspace, route),
+            allowed_regions=self._find_homes(context),
         )
 
+    def _find_homes(self, context: _RequestContext) -> frozenset[str] | None:
+        request = context.request
+        policy = self._current_policy()
+        return find_homes(policy, request.host, request.path, request.api_key, context.route)
+
     def _build_guard(
         self,
         context: _RequestContext,
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -260,6 +260,34 @@
     revision: int
 
 
+@frozen(eq=False, repr=False)
+class ZoneEvacuated:
+    """Requests are no longer sent to the upstreams of a zone, as its operators ordered."""
+
+    zone: str
+    revision: int
+    age_s: float
+
+
+@frozen(eq=False, repr=False)
+class ZoneReturned:
+    """Requests may be sent to the upstreams of a zone again."""
+
+    zone: str
+    revision: int
+
+
+@frozen(eq=False, repr=False)
+class DirectoryOutsideHomes:
+    """Callers of a host are directed to entries outside its homes, as none is live in them."""
+
+    host: str
+    zone: str
+    region: str
+    homes: str
+    entries: int
+
+
 @frozen(eq=False, repr=False)
 class UpstreamLeaving:
     """An upstream said in a response that it leaves; it gets no more requests."""
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from daisystack.backends import InvalidPublication, PublicationReader
+from daisystack.core.evacuations import ZoneEvacuation
 from daisystack.core.mirror import Change, Mirror
 from daisystack.core.placement import DirectUpstream, Placement
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
@@ -20,6 +21,8 @@
     TargetTaken,
     UpstreamChanged,
     UpstreamGone,
+    ZoneEvacuated,
+    ZoneReturned,
 )
 from daisystack.runtime.logs import log_event
 
@@ -53,6 +56,7 @@
     def _apply_change(self, change: Change, is_first_read: bool, age_s: float) -> None:
         if change.value is None:
             self._remove_upstream(change)
+            self._end_evacuation(change)
             return
         try:
             publication = self.reader.read(change)
@@ -71,6 +75,11 @@
             self.placement.remove_upstream(upstream_id)
             log_event(_logger, UpstreamGone(upstream_id, change.revision))
 
+    def _end_evacuation(self, change: Change) -> None:
+        zone = self.placement.places.evacuations.end(change.key)
+        if zone is not None:
+            log_event(_logger, ZoneReturned(zone, change.revision))
+
     @singledispatchmethod
     def _apply(
         self, publication: object, change: Change, is_first_read: bool, age_s: float
@@ -116,6 +125,13 @@
     ) -> None:
         self._add_target(publication, self._learned_s(is_first_read), change.revision)
 
+    @_apply.register
+    def _(
+        self, publication: ZoneEvacuation, change: Change, is_first_read: bool, age_s: float
+    ) -> None:
+        if self.placement.places.evacuations.begin(change.key, publication.zone):
+            log_event(_logger, ZoneEvacuated(publication.zone, change.revision, age_s))
+
     def _learned_s(self, is_first_read: bool) -> float:
         """Return since when a target that is applied now counts as known.
 
