--- a/daisystack/testing/direct.py
+++ b/daisystack/testing/direct.py
@@ -10,6 +10,7 @@
 from daisystack.core.engine_status import EngineStatusTable
 from daisystack.core.mirror import Mirror, Snapshot
 from daisystack.core.placement import DirectUpstream, Placement
+from daisystack.core.placement.places import Places
 from daisystack.core.traffic import (
     EngineProfile,
     RequestKind,
@@ -203,9 +204,11 @@
     return InboundRequest(method, target, ((b"host", b"site"), *encoded_headers), body, now_s())
 
 
-def build_requests(policy: TrafficPolicy, upstreams, confirmed_age_s=0.0) -> DirectRequests:
+def build_requests(
+    policy: TrafficPolicy, upstreams, confirmed_age_s=0.0, places: Places | None = None
+) -> DirectRequests:
     """Return the request handler of one entry with the given upstreams."""
-    placement = Placement(random.Random(1), EngineStatusTable())
+    placement = Placement(random.Random(1), EngineStatusTable(), places=places or Places())
     for upstream in upstreams:
         placement.update_upstream(upstream)
     mirror = Mirror("op/")
