Move the dealing of a bound over all entries out of the rate limits' shares

Cause: the bound on requests to cold upstreams is of the same class (whole requests dealt by rank, kept in a sliding window), with another window. Change: sharing_zones, deal and SlidingQuota in core/dealing.py; the shares of rate limits decide as before. Run: test_rate_limits and test_rate_limit_load, 29 tests, green, unchanged.

--- a/daisystack/core/rate_shares.py
+++ b/daisystack/core/rate_shares.py
@@ -13,6 +13,7 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.dealing import SlidingQuota, deal, sharing_zones
 from daisystack.core.rate_limits import RateLimits
 from daisystack.core.rendezvous import rank_members
 from daisystack.core.upstream_pauses import Incarnation
@@ -66,71 +67,30 @@
     """
     if len(view.ranked) < view.known * MIN_LIVE_SHARE:
         return 0.0
-    weights = _sharing_zones(upstream, entries_by_zone)
+    weights = sharing_zones(upstream.id, upstream.zone, upstream.served_zones, entries_by_zone)
     zones = rank_members(upstream.id, weights)
     requests = math.floor(upstream.limit_per_s * WINDOW_S + ROUNDING)
     if requests == 0:
         # Less than one request in a window can't be shared.
         is_only = zones[:1] == [own_zone] and view.ranked[:1] == (own_id,)
         return upstream.limit_per_s if is_only else 0.0
-    in_zone = _deal(requests, weights, zones).get(own_zone, 0)
+    in_zone = deal(requests, weights, zones).get(own_zone, 0)
     # The part of entries that are known but not live is left unused.
     places = {str(rank): 1 for rank in range(view.known)}
-    by_rank = list(_deal(in_zone, places, list(places)).values())
+    by_rank = list(deal(in_zone, places, list(places)).values())
     return dict(zip(view.ranked, by_rank, strict=False)).get(own_id, 0) / WINDOW_S
 
 
-def _sharing_zones(upstream: LimitedUpstream, entries_by_zone: Mapping[str, int]) -> dict[str, int]:
-    """Return the zones whose entries share a limit, with their sizes.
-
-    These are the upstream's own and those that have no upstream of its service; one of the others
-    if they have no entries.
-    """
-    present = {zone: entries for zone, entries in entries_by_zone.items() if entries > 0}
-    sharing = {
-        zone: entries
-        for zone, entries in present.items()
-        if zone == upstream.zone or zone not in upstream.served_zones
-    }
-    return sharing or {zone: present[zone] for zone in rank_members(upstream.id, present)[:1]}
-
-
-def _deal(count: int, weights: Mapping[str, int], order: list[str]) -> dict[str, int]:
-    """Deal out count items in proportion to weights; the first in order get what remains."""
-    total = sum(weights.values())
-    dealt = {name: count * weight // total for name, weight in weights.items()}
-    remainders = {name: count * weights[name] % total for name in order}
-    left = count - sum(dealt.values())
-    for name in sorted(order, key=lambda name: -remainders[name])[:left]:
-        dealt[name] += 1
-    return dealt
-
-
-@frozen
-class _Quota:
-    """At most count requests in any window_s."""
-
-    count: int
-    window_s: float
-
-    def free_at_s(self, sent_s: Iterable[float], reserved: int, now_s: float) -> float:
-        """Return when one more request fits."""
-        recent = [at_s for at_s in sent_s if at_s > now_s - self.window_s]
-        excess = len(recent) + reserved + 1 - self.count
-        if excess <= 0:
-            return now_s
-        # A reserved request may be sent at any time from now on.
-        return recent[excess - 1] + self.window_s if excess <= len(recent) else now_s + WINDOW_S
-
-
 def _window_s(rate_per_s: float) -> float:
     return max(WINDOW_S, 1.0 / rate_per_s) if rate_per_s > 0 else WINDOW_S
 
 
-def _quotas(rate_per_s: float) -> tuple[_Quota, _Quota]:
+def _quotas(rate_per_s: float) -> tuple[SlidingQuota, SlidingQuota]:
     window_s = _window_s(rate_per_s)
     count = max(1, math.floor(rate_per_s * window_s + ROUNDING))
-    return _Quota(count, window_s), _Quota(math.ceil(count * BURST_SHARE), window_s * BURST_SHARE)
+    return SlidingQuota(count, window_s), SlidingQuota(
+        math.ceil(count * BURST_SHARE), window_s * BURST_SHARE
+    )
 
 
 @frozen
@@ -224,7 +184,9 @@
         if rate_per_s <= 0:
             return max(now_s + WINDOW_S * BURST_SHARE, share.usable_from_s())
         sent_s = self._sent_s.get(key, ())
-        return max(quota.free_at_s(sent_s, reserved, now_s) for quota in _quotas(rate_per_s))
+        return max(
+            quota.free_at_s(sent_s, reserved, WINDOW_S, now_s) for quota in _quotas(rate_per_s)
+        )
 
     def may_send(self, key: Incarnation, now_s: float) -> bool:
         """Return whether a request may be sent now, beside those that are reserved."""
