Bound requests to cold upstreams over all entries by parts that need no messages

Cause: nothing bounded what all entries together send to an upstream that has just started or become cold again.

--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 
+from daisystack.core.cold_upstreams import ColdUpstreams
 from daisystack.core.engine_status import EngineStatusTable
 from daisystack.core.placement.counts import RequestCounts
 from daisystack.core.placement.eligibility import Eligibility
@@ -57,6 +58,7 @@
     profiles: dict[str, EngineProfile] = field(factory=dict)
     pauses: UpstreamPauses = field(factory=UpstreamPauses)
     shares: RateShares = field(factory=RateShares)
+    cold: ColdUpstreams = field(factory=ColdUpstreams)
     zone: str = ""
     view: UpstreamView = field(init=False)
     counts: RequestCounts = field(init=False)
@@ -66,11 +68,12 @@
 
     def __attrs_post_init__(self) -> None:
         self.view = UpstreamView(self.engines, self.profiles, self.zone)
-        self.counts = RequestCounts(self.view, self.shares)
+        self.cold.engines = self.engines
+        self.counts = RequestCounts(self.view, self.shares, self.cold)
         self.prediction = Prediction(self.view, self.counts)
         self.health = UpstreamHealth(self.view, self.counts)
         self.eligibility = Eligibility(
-            self.view, self.counts, self.prediction, self.pauses, self.shares
+            self.view, self.counts, self.prediction, self.pauses, self.shares, self.cold
         )
 
     def update_profiles(self, profiles: dict[str, EngineProfile]) -> None:
@@ -78,15 +81,17 @@
         self.profiles = profiles
         self.view.profiles = profiles
 
-    def update_upstream(self, upstream: DirectUpstream) -> None:
-        """Store the published record of an upstream."""
+    def update_upstream(self, upstream: DirectUpstream, now_s: float = float("-inf")) -> None:
+        """Store the published record of an upstream; now_s matters if it can be cold."""
         self.view.upstreams[upstream.id] = upstream
+        self.cold.record(upstream, now_s)
         self.counts.count_engines()
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Remove an upstream that is no longer published."""
         self.view.upstreams.pop(upstream_id, None)
         self.health.forget(upstream_id)
+        self.cold.forget(upstream_id)
         self.counts.forget(upstream_id)
         self.counts.count_engines()
 
@@ -107,7 +112,7 @@
         self.counts.end(sent, now_s)
 
     def take_share(self, sent: SentRequest, now_s: float) -> bool:
-        """Count a request as sent now; return False if its upstream's rate limit forbids it."""
+        """Count a request as sent now; return False if its upstream gets no more."""
         return self.counts.take_share(sent, now_s)
 
     def own_counts(self) -> dict[str, int]:
--- a/daisystack/core/placement/counts.py
+++ b/daisystack/core/placement/counts.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.cold_upstreams import ColdUpstreams
 from daisystack.core.placement.records import DirectUpstream, SentRequest
 from daisystack.core.placement.view import STATUS_LIFETIME_S, UpstreamView
 from daisystack.core.rate_shares import RateShares
@@ -40,6 +41,7 @@
 
     view: UpstreamView
     shares: RateShares
+    cold: ColdUpstreams = field(factory=ColdUpstreams)
     _own_requests: dict[str, set[SentRequest]] = field(factory=dict)
     _ended_requests: dict[str, list[_EndedRequest]] = field(factory=dict)
     _entry_counts: dict[str, _EntryCounts] = field(factory=dict)
@@ -59,6 +61,7 @@
         is_reserved = self.shares.reserve(incarnation)
         sent = SentRequest(upstream_id, prompt_tokens, now_s, version, incarnation, is_reserved)
         self._own_requests.setdefault(upstream_id, set()).add(sent)
+        self.cold.reserve(sent)
         if upstream is not None and upstream.has_engine:
             sent_s = self._sent_s.setdefault(upstream.service, deque())
             sent_s.append(now_s)
@@ -85,11 +88,15 @@
         self._ended_requests[sent.upstream_id] = [*recent, _EndedRequest(sent.sent_s, now_s)]
 
     def take_share(self, sent: SentRequest, now_s: float) -> bool:
-        """Count a request as sent now; return False if its upstream's rate limit forbids it."""
+        """Count a request as sent now; return False if its upstream gets no more."""
         self._release(sent)
+        upstream = self.view.upstreams.get(sent.upstream_id)
+        if upstream is not None and not self.cold.take(upstream, now_s):
+            return False
         return self.shares.take(sent.incarnation, now_s)
 
     def _release(self, sent: SentRequest) -> None:
+        self.cold.release(sent)
         if sent.is_reserved:
             sent.is_reserved = False
             self.shares.release(sent.incarnation)
--- a/daisystack/core/placement/eligibility.py
+++ b/daisystack/core/placement/eligibility.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from daisystack.core.cold_upstreams import ColdUpstreams
 from daisystack.core.placement.counts import RequestCounts
 from daisystack.core.placement.prediction import START_WAIT_FACTOR, Prediction
 from daisystack.core.placement.records import (
@@ -36,6 +37,7 @@
     prediction: Prediction
     pauses: UpstreamPauses
     shares: RateShares
+    cold: ColdUpstreams
 
     def is_eligible(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
@@ -50,6 +52,8 @@
         is_unlimited = self.shares.limits.is_empty
         if not is_unlimited and not self.shares.may_send(upstream.incarnation, now_s):
             return False
+        if not self.cold.admits(upstream, now_s):
+            return False
         if not upstream.has_engine:
             return True
         status = self.view.engines.get(upstream.address, now_s)
@@ -115,16 +119,24 @@
 
     def refuse_without_upstream(self, requirements: PlacementRequirements, now_s: float) -> Refusal:
         """Return why no upstream may get a request."""
-        incarnations = [
-            u.incarnation
+        ready = [
+            u
             for u in self.view.upstreams.values()
             if u.service == requirements.service and u.is_ready
         ]
+        incarnations = [u.incarnation for u in ready]
         # Other upstreams may accept requests again long before a limit allows the next one.
         if incarnations and not any(self.shares.may_send(key, now_s) for key in incarnations):
             return_s = self.shares.plan_return_s(requirements.service, incarnations, now_s)
             return Refusal("the rate limits of the upstreams are used up", False, return_s)
+        if any(self._is_bound_as_cold(u, now_s) for u in ready):
+            return Refusal("cold upstreams get no more of it now", True)
         end_s = self.pauses.next_end_s(incarnations, now_s)
         if end_s is None:
             return Refusal("no upstream is there for it", False)
         return Refusal("the upstreams want a pause", False, end_s - now_s)
+
+    def _is_bound_as_cold(self, upstream: DirectUpstream, now_s: float) -> bool:
+        if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
+            return False
+        return self.cold.part(upstream, now_s) is not None
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -11,6 +11,7 @@
 
 from daisystack.backends import PublicationReader, PublishedStore, RequestDialect, WeightOrigin
 from daisystack.core.addresses import parse_address
+from daisystack.core.cold_upstreams import ColdBound, ColdUpstreams
 from daisystack.core.crash_hold import CrashHold
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.engine_status import EngineStatusTable
@@ -25,6 +26,7 @@
 from daisystack.runtime.belief_gate import BeliefGate
 from daisystack.runtime.caller_http import CallerServer
 from daisystack.runtime.clock import new_incarnation, now_s
+from daisystack.runtime.cold_watch import ColdWatch
 from daisystack.runtime.crash_watch import CrashWatch
 from daisystack.runtime.direct_metrics import EntryMetrics
 from daisystack.runtime.direct_requests import DirectRequests, DirectRequestSettings
@@ -73,6 +75,7 @@
     stop_requested_s: float | None = None
     mirrors: dict[str, Mirror] = field(init=False)
     placement: Placement = field(init=False)
+    cold_watch: ColdWatch = field(init=False)
     published: PublishedState = field(init=False)
     mesh: MeshTask = field(init=False)
     requests: DirectRequests = field(init=False)
@@ -89,7 +92,10 @@
         pauses = UpstreamPauses(self.settings.publication_bound_s)
         zone = self.settings.identity.zone
         rng = random.SystemRandom()
-        self.placement = Placement(rng, EngineStatusTable(), pauses=pauses, zone=zone)
+        self.placement = Placement(
+            rng, EngineStatusTable(), pauses=pauses, zone=zone, cold=self._build_cold()
+        )
+        self.cold_watch = ColdWatch(self.placement)
         targets = Targets(self.settings.publication_bound_s)
         self.published = PublishedState(self.reader, self.placement, targets)
         own = self._build_own_member()
@@ -117,6 +123,15 @@
         )
         self.requests.wait_until_current = self._wait_until_current
 
+    def _build_cold(self) -> ColdUpstreams:
+        settings = self.settings
+        is_bound = settings.cold_overrun is not None
+        return ColdUpstreams(
+            ColdBound(settings.cold_overrun, settings.cold_slack) if is_bound else None,
+            settings.publication_bound_s,
+            self.mirrors[self.upstream_prefix].age_s,
+        )
+
     def _build_mesh(self, own: Member, crashes: CrashWatch) -> MeshTask:
         return MeshTask(
             own,
@@ -144,7 +159,10 @@
         self.mesh.exchange_news()
 
     def _refresh_shares(self, at_s: float) -> None:
-        self.requests.rate_limits.refresh(self.mesh.own, self.mesh.membership, at_s)
+        own, membership = self.mesh.own, self.mesh.membership
+        self.requests.rate_limits.refresh(own, membership, at_s)
+        expects_peers = any(seed != own.peer_address for seed in self.mesh.seeds)
+        self.cold_watch.refresh(own, membership, expects_peers, at_s)
 
     def _build_pieces(self) -> PieceTask:
         return PieceTask(
@@ -361,6 +379,12 @@
                 "Parts of prompts that are held",
                 len(self.requests.crashes.suspects.held_parts),
             ),
+            ("daisystack_cold_upstreams", "Cold upstreams", len(self.placement.cold.cold(at_s))),
+            (
+                "daisystack_cold_passed_over",
+                "Times that a cold upstream got no request as this entry's part was used up",
+                self.placement.cold.passed_over,
+            ),
             ("daisystack_outdated_refused", "Requests refused on old copies", self.gate.refused),
             ("daisystack_mesh_exchanges", "Exchanges of news", self.mesh.exchanges),
             ("daisystack_piece_bytes", "Memory of pieces held", self.pieces.cache.held_bytes),
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -15,6 +15,8 @@
     "CallerRefused",
     "ChunkRejected",
     "CopySlow",
+    "ColdUpstreamsKnown",
+    "ColdUpstreamsUnsure",
     "CrashCounted",
     "DaemonStarted",
     "DaemonStopped",
@@ -44,6 +46,7 @@
     "UpstreamChanged",
     "UpstreamGone",
     "UpstreamLeaving",
+    "UpstreamCold",
     "UpstreamNoticeIgnored",
     "UpstreamPaused",
     "UpstreamRateLimitEnded",
@@ -301,6 +304,42 @@
     source: str
 
 
+@frozen(eq=False, repr=False)
+class UpstreamCold:
+    """An upstream is cold for cold_left_s; this entry may send it part requests a second."""
+
+    upstream: str
+    started_ms: int
+    cold_left_s: float
+    part: int
+    record_age_s: float
+
+
+@frozen(eq=False, repr=False)
+class UpstreamWarm:
+    """An upstream that was seen to be cold for_s ago no longer is, or is no longer published."""
+
+    upstream: str
+    started_ms: int
+    for_s: float
+
+
+@frozen(eq=False, repr=False)
+class ColdUpstreamsUnsure:
+    """The records are too old to tell who is cold, so each upstream may be."""
+
+    record_age_s: float
+    max_age_s: float
+
+
+@frozen(eq=False, repr=False)
+class ColdUpstreamsKnown:
+    """The records are again recent enough to tell who is cold."""
+
+    record_age_s: float
+    max_age_s: float
+
+
 @frozen(eq=False, repr=False)
 class UpstreamNoticeIgnored:
     """An upstream sent a header that can't be understood."""
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -86,6 +86,7 @@
         log_event(_logger, PolicyTaken(before, publication.version, change.revision, age_s))
         profiles = {s.name: s.engine for s in publication.services.values() if s.engine}
         self.placement.update_profiles(profiles)
+        self.placement.cold.update_services(publication.services)
         for service in publication.services.values():
             if service.engine is not None:
                 first_target = WeightTarget(service.engine.model, service.engine.first_version)
@@ -98,7 +99,7 @@
         self, publication: DirectUpstream, change: Change, is_first_read: bool, age_s: float
     ) -> None:
         previous = self.placement.get(publication.id)
-        self.placement.update_upstream(publication)
+        self.placement.update_upstream(publication, now_s())
         if previous != publication:
             event = UpstreamChanged(
                 publication.id,
--- a/daisystack/testing/limit_fleet.py
+++ b/daisystack/testing/limit_fleet.py
@@ -19,7 +19,7 @@
 from daisystack.runtime.rate_limit_watch import RateLimitWatch
 from daisystack.testing.gossip import GossipFleet, SimulatedEntry
 
-__all__ = ["WINDOW_S", "Arrival", "LimitFleet"]
+__all__ = ["WINDOW_S", "Arrival", "LimitFleet", "worst_window"]
 
 SERVICE = "s"
 WINDOW_S = 4.0
@@ -35,11 +35,12 @@
 
 @define
 class Arrival:
-    """One request that reached a limited upstream, and whether its entry had been told."""
+    """One request that reached an upstream, and whether its entry had been told of a limit."""
 
     at_s: float
     entry_id: str
     was_told: bool
+    upstream_id: str
 
 
 @define(eq=False)
@@ -53,6 +54,7 @@
     limited_from_s: float = 6.0
     limited_until_s: float = float("inf")
     connect_s: Callable[[random.Random], float] = lambda draw: draw.uniform(0.001, 0.015)
+    answer_s: Callable[[random.Random], float] = lambda draw: draw.uniform(0.02, 0.3)
     arrivals: list[Arrival] = field(factory=list)
     refused: int = 0
     placements: dict[str, Placement] = field(factory=dict)
@@ -86,11 +88,12 @@
     def worst_told(self, from_s: float, excused: frozenset[str] = frozenset()) -> int:
         """Return the most requests in some WINDOW_S that entries sent that had been told."""
         told = [a.at_s for a in self.arrivals if a.was_told and a.entry_id not in excused]
-        return _worst_window([at_s for at_s in told if at_s >= from_s])
+        return worst_window([at_s for at_s in told if at_s >= from_s], WINDOW_S)
 
     def worst_total(self, from_s: float, to_s: float = float("inf")) -> int:
         """Return the most requests in some WINDOW_S of a time, from all entries."""
-        return _worst_window([a.at_s for a in self.arrivals if from_s <= a.at_s < to_s])
+        times_s = [a.at_s for a in self.arrivals if from_s <= a.at_s < to_s]
+        return worst_window(times_s, WINDOW_S)
 
     def rate_per_s(self, from_s: float, to_s: float) -> float:
         """Return the mean rate at which requests reached the upstream."""
@@ -160,9 +163,9 @@
             return
         told_s = self.told_s.get(entry.own.id, float("inf"))
         was_told = self.now_s >= told_s + TOLD_AFTER_S
-        self.arrivals.append(Arrival(self.now_s, entry.own.id, was_told))
+        self.arrivals.append(Arrival(self.now_s, entry.own.id, was_told, upstream.id))
         is_limited = self.limited_from_s <= self.now_s < self.limited_until_s
-        delay_s = self._work.uniform(0.02, 0.3)
+        delay_s = self.answer_s(self._work)
         self._schedule(delay_s, entry, lambda e: self._receive_answer(e, sent, is_limited))
 
     def _receive_answer(self, entry: SimulatedEntry, sent: SentRequest, is_limited: bool) -> None:
@@ -185,11 +188,12 @@
         self._schedule(wait_s, entry, self._push)
 
 
-def _worst_window(times_s: list[float]) -> int:
+def worst_window(times_s: list[float], window_s: float) -> int:
+    """Return the most times within any window_s."""
     ordered = sorted(times_s)
     worst, start = 0, 0
     for end, at_s in enumerate(ordered):
-        while ordered[start] <= at_s - WINDOW_S:
+        while ordered[start] <= at_s - window_s:
             start += 1
         worst = max(worst, end - start + 1)
     return worst
