--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -78,6 +78,7 @@
     def _end_evacuation(self, change: Change) -> None:
         zone = self.placement.places.evacuations.end(change.key)
         if zone is not None:
+            self.placement.cold.record_return(zone, now_s())
             log_event(_logger, ZoneReturned(zone, change.revision))
 
     @singledispatchmethod
@@ -95,6 +96,7 @@
         log_event(_logger, PolicyTaken(before, publication.version, change.revision, age_s))
         profiles = {s.name: s.engine for s in publication.services.values() if s.engine}
         self.placement.update_profiles(profiles)
+        self.placement.cold.update_services(publication.services)
         for service in publication.services.values():
             if service.engine is not None:
                 first_target = WeightTarget(service.engine.model, service.engine.first_version)
@@ -107,7 +109,7 @@
         self, publication: DirectUpstream, change: Change, is_first_read: bool, age_s: float
     ) -> None:
         previous = self.placement.get(publication.id)
-        self.placement.update_upstream(publication)
+        self.placement.update_upstream(publication, now_s())
         if previous != publication:
             event = UpstreamChanged(
                 publication.id,
