Remove values that the store lost also from copies that are only confirmed

The configuration's copy is confirmed by the short list of upstreams and not read again, so lost values stayed in it for good: an evacuation that the store had lost held on in a fleet of 35 entries.

Evidence: test_an_order_that_is_not_written_again_ends_after_the_hold_time failed on the code before.

Change: once the store is confirmed, after the hold time, to hold nothing newer than a copy of its era, the values that the copy kept from earlier eras are removed.

--- a/daisystack/core/mirror.py
+++ b/daisystack/core/mirror.py
@@ -92,6 +92,7 @@
     _earlier_deleted: dict[str, DocumentVersion] = field(factory=dict)
     # When this copy entered its era, for values that the era's first copy lacked.
     _era_entered_s: float | None = None
+    _has_lost_values: bool = False
 
     def __len__(self) -> int:
         return len(self._changes_by_key)
@@ -210,12 +211,25 @@
         changes += [Change(k, r, None) for k, r in self._tombstones.items() if r > revision]
         return Delta(tuple(changes), self.complete_revision, self.age_s(now_s), False, self.era)
 
+    def expire_lost_values(self) -> list[Change]:
+        """Remove values that the store lost and was confirmed to lack after their hold time.
+
+        Full copies remove them too, but a confirmed copy isn't read again. Return what changed.
+        """
+        if not self._has_lost_values or self._time_in_era_s(self.confirmed_s) < LOST_VALUE_HOLD_S:
+            return []
+        self._has_lost_values = False
+        lost = [c for c in self._changes_by_key.values() if c.revision == EARLIER_ERA]
+        deletions = [Change(change.key, self.complete_revision, None) for change in lost]
+        return [deletion for deletion in deletions if self._apply(deletion)]
+
     def _enter_era(self, era: int, now_s: float) -> None:
         """Keep all values as those of an earlier era if a copy of a later era arrives."""
         if era <= self.era:
             return
         # The first copy of a new process is of no later era than any before it.
         self._era_entered_s = now_s if self.has_snapshot else None
+        self._has_lost_values = self.has_snapshot
         self.era = era
         self.complete_revision = self._newest_change = 0
         self._seen_revisions.clear()
--- a/daisystack/runtime/mirror_task.py
+++ b/daisystack/runtime/mirror_task.py
@@ -145,6 +145,9 @@
     def _step(self) -> None:
         if not self.mirror.has_snapshot:
             eventlet.sleep(random.uniform(0.0, START_JITTER_S))
+        expired = self.mirror.expire_lost_values()
+        if expired:
+            self.on_changes(self.mirror, expired)
         rank = min(self.reader_rank(), MAX_READER_RANK)
         age_s = self.mirror.age_s(now_s())
         wait_s = self._max_age_s(rank) - age_s
--- a/daisystack/testing/fleet.py
+++ b/daisystack/testing/fleet.py
@@ -15,6 +15,7 @@
 
 from daisystack.backends import BackendError
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
+from daisystack.core.evacuations import ZoneEvacuation
 from daisystack.core.mirror import Change, Snapshot
 from daisystack.core.traffic import TrafficPolicy
 from daisystack.runtime import clock
@@ -35,6 +36,7 @@
 REQUEST_BYTES = 300
 STORE_ZONE = "z0"
 CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 UPSTREAMS = 48
 LONG_ANSWER_BYTES = 100_000
 AGE_SAMPLE_INTERVAL_S = 0.05
@@ -104,10 +106,12 @@
 
 
 class FleetReader:
-    """Decode only the version of a configuration."""
+    """Decode only the version of a configuration, and evacuations."""
 
-    def read(self, change: Change) -> TrafficPolicy | None:
-        """Return a policy without routes for the configuration, None for other keys."""
+    def read(self, change: Change) -> TrafficPolicy | ZoneEvacuation | None:
+        """Return a policy without routes or an evacuation, None for other keys."""
+        if change.key.startswith(EVACUATION_PREFIX):
+            return ZoneEvacuation(change.key.removeprefix(EVACUATION_PREFIX))
         if change.key != CONFIG_KEY:
             return None
         return TrafficPolicy(int(change.value[12:].partition(b",")[0]), (), {})
@@ -160,11 +164,31 @@
     silence_s: float = 0.01
     # Watches hear nothing before this time, as while the history is dropped.
     deaf_until_s: float = 0.0
+    era: int = 0
+    _deletions: dict[str, Change] = field(factory=dict)
 
     def write(self, key: str, value: bytes) -> None:
         """Publish a value."""
         self.revision += 1
         self.items[key] = Change(key, self.revision, value)
+        self._deletions.pop(key, None)
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self._deletions[key] = Change(key, self.revision, None)
+
+    def go_back(self, items: dict[str, Change], revision: int) -> None:
+        """Restore an older copy, which begins a new era."""
+        self.items, self.revision = dict(items), revision
+        self._deletions.clear()
+        self.era += 1
+
+    def changes_after(self, prefix: str, revision: int) -> tuple[Change, ...]:
+        """Return the values and deletions under a prefix that are newer than a revision."""
+        changes = (*self.items.values(), *self._deletions.values())
+        return tuple(c for c in changes if c.key.startswith(prefix) and c.revision > revision)
 
 
 @frozen(eq=False)
@@ -179,8 +203,9 @@
         self._begin_call()
         requested_s = clock.now_s()
         eventlet.sleep(self.machine.store_latency_s + STORE_ANSWER_S)
-        changes = self._under(prefix, 0)
-        snapshot = Snapshot(changes, self.store.revision, requested_s)
+        items = self.store.changes_after(prefix, 0)
+        changes = tuple(change for change in items if change.value is not None)
+        snapshot = Snapshot(changes, self.store.revision, requested_s, self.store.era)
         self._receive(changes)
         return snapshot
 
@@ -189,7 +214,9 @@
         self._begin_call()
         ends_s = clock.now_s() + wait_s
         while clock.now_s() < ends_s:
-            changes = self._under(prefix, after_revision)
+            if era != self.store.era:
+                raise BackendError("the history before the store's return is gone")
+            changes = self.store.changes_after(prefix, after_revision)
             if changes and clock.now_s() >= self.store.deaf_until_s:
                 self._receive(changes)
                 return changes
@@ -202,12 +229,8 @@
             eventlet.sleep(self.store.silence_s)
             raise BackendError("the store is down")
 
-    def _under(self, prefix: str, after_revision: int) -> tuple[Change, ...]:
-        items = self.store.items.values()
-        return tuple(c for c in items if c.key.startswith(prefix) and c.revision > after_revision)
-
     def _receive(self, changes: tuple[Change, ...]) -> None:
-        count = sum(120 + len(change.value) * 4 // 3 for change in changes)
+        count = sum(120 + len(change.value or b"") * 4 // 3 for change in changes)
         self.store.long_answers += count > LONG_ANSWER_BYTES
         try:
             transfer([*self.machine.store_links, self.machine.downlink], count, 1.0)
--- /dev/null
+++ b/daisystack/tests/test_evacuation.py
@@ -0,0 +1,266 @@
+"""Test that an evacuated zone gets no requests from any entry until the order is removed.
+
+Complete entries learn of the order in passed time, while readers are lost, machines are cut off and
+the store is down or comes back from an older copy.
+"""
+
+import unittest
+from unittest import mock
+
+import eventlet
+
+from daisystack.backends import InvalidPublication
+from daisystack.core.evacuations import ZoneEvacuation
+from daisystack.core.mirror import LOST_VALUE_HOLD_S
+from daisystack.core.placement import Placement
+from daisystack.core.placement.places import ALL_EVACUATED, Places
+from daisystack.runtime import published
+from daisystack.runtime.clock import now_s
+from daisystack.runtime.direct_http import DirectExchange
+from daisystack.testing.direct import (
+    RecordingResponder,
+    build_inbound,
+    build_policy,
+    build_requests,
+    build_route,
+    build_upstream,
+)
+from daisystack.testing.fleet import EntryFleet, run_in_passed_time
+from daisystack.testing.places import REGION_BY_ZONE, PlaceReader, play_places, publish
+from daisystack.testing.scripted import ScriptedServer, build_answer, read_request
+from daisystack.tests.on_platform.adapter import read_publication
+
+SIZES = (8, 35, 99)
+ZONES = 3
+BOUND_S = 5.0
+# Within which a configuration must be in force; copies are confirmed as often as that needs.
+CONFIG_BOUND_S = 3.0
+SAMPLE_INTERVAL_S = 0.05
+KEY = "op/evacuate/z1"
+DRAWS = 1000
+
+
+class WatchedFleet:
+    """A fleet, and at which times which of its entries held the zone as evacuated."""
+
+    def __init__(self, size):
+        self.fleet = EntryFleet(size, ZONES, CONFIG_BOUND_S)
+        self.fleet.start(4.0)
+        self.samples = []
+        eventlet.spawn(self._sample)
+
+    def _sample(self):
+        while True:
+            machines = [m for m in self.fleet.machines.values() if not m.is_cut_off]
+            held = {m.id: self._holds(m) for m in machines}
+            self.samples.append((now_s(), held))
+            eventlet.sleep(SAMPLE_INTERVAL_S)
+
+    def _holds(self, machine):
+        return machine.entry.placement.places.evacuations.covers("z1")
+
+    def evacuate(self):
+        self.fleet.store.write(KEY, b"{}")
+        self.ordered_s = now_s()
+
+    def held_after(self, at_s, until_s=float("inf")):
+        """Return what the entries held at any sample after a time."""
+        return {
+            value
+            for sampled_s, held in self.samples
+            if at_s < sampled_s < until_s
+            for value in held.values()
+        }
+
+
+def order(watched):
+    watched.evacuate()
+
+
+def lose_readers(watched):
+    watched.fleet.lose_readers(2)
+    watched.evacuate()
+
+
+def turn_most_away(watched):
+    machines = list(watched.fleet.machines.values())
+    for machine in machines[: len(machines) * 3 // 4]:
+        machine.is_turned_away = True
+    watched.evacuate()
+
+
+def cut_off_and_back(watched):
+    """A third is cut off while the order comes, and later connected again."""
+    cut = list(watched.fleet.machines.values())[::3]
+    for machine in cut:
+        machine.is_cut_off = True
+    watched.evacuate()
+    eventlet.sleep(6.0)
+    for machine in cut:
+        machine.is_cut_off = False
+    # Their bound begins once they are in touch.
+    watched.ordered_s = now_s()
+
+
+def stop_store(watched):
+    """The store fails after a few entries have read the order."""
+    watched.evacuate()
+    eventlet.sleep(0.3)
+    watched.fleet.store.is_down = True
+
+
+def miss_watches(watched):
+    watched.fleet.store.deaf_until_s = now_s() + 3.0
+    watched.evacuate()
+
+
+def play(action, size, pass_s=BOUND_S + 2.0):
+    def run():
+        watched = WatchedFleet(size)
+        action(watched)
+        eventlet.sleep(pass_s)
+        return watched
+
+    return run_in_passed_time(run)
+
+
+class TestSpread(unittest.TestCase):
+    def test_every_entry_holds_a_zone_as_evacuated_within_the_bound(self):
+        actions = (order, lose_readers, turn_most_away, cut_off_and_back, stop_store, miss_watches)
+        for size in SIZES:
+            for action in actions if size == 35 else (order, cut_off_and_back):
+                with self.subTest(size=size, action=action.__name__):
+                    watched = play(action, size)
+                    self.assertEqual(watched.held_after(watched.ordered_s + BOUND_S), {True})
+
+    def test_the_order_is_in_force_no_longer_within_the_bound_after_its_removal(self):
+        def remove(watched):
+            watched.evacuate()
+            eventlet.sleep(3.0)
+            watched.fleet.store.delete(KEY)
+            watched.ordered_s = now_s()
+
+        watched = play(remove, 35)
+        self.assertEqual(watched.held_after(watched.ordered_s + BOUND_S), {False})
+
+
+class TestEra(unittest.TestCase):
+    def go_back(self, then):
+        """Return a fleet whose store comes back without the order that it held."""
+
+        def action(watched):
+            store = watched.fleet.store
+            copy = dict(store.items), store.revision
+            watched.evacuate()
+            eventlet.sleep(3.0)
+            store.is_down = True
+            eventlet.sleep(1.0)
+            store.is_down = False
+            store.go_back(*copy)
+            watched.back_s = now_s()
+            then(watched)
+
+        return play(action, 35, 10.0)
+
+    # A store that came back from an older copy lacked the order, and requests went there again.
+    def test_an_order_that_the_store_lost_holds_until_it_is_written_again(self):
+        def write_again(watched):
+            eventlet.sleep(2.0)
+            watched.fleet.store.write(KEY, b"{}")
+
+        watched = self.go_back(write_again)
+        self.assertEqual(watched.held_after(watched.back_s - 1.0), {True})
+
+    def test_an_order_that_is_not_written_again_ends_after_the_hold_time(self):
+        watched = self.go_back(lambda watched: None)
+        held_until_s = watched.back_s + LOST_VALUE_HOLD_S
+        self.assertEqual(watched.held_after(watched.back_s - 1.0, held_until_s), {True})
+        self.assertEqual(watched.held_after(held_until_s + CONFIG_BOUND_S), {False})
+
+
+class TestSends(unittest.TestCase):
+    def test_no_request_reaches_an_upstream_in_an_evacuated_zone(self):
+        play = play_places(5, DRAWS, has_homes=False)
+        self.assertEqual(play.evacuated(), 0)
+        self.assertGreater(len(play.sent), DRAWS)
+        self.assertGreater(play.not_sent, 0)
+
+    def test_each_part_of_the_rule_is_needed(self):
+        """Guards against a play that could not fail."""
+        for owner, name, broken in [
+            (Placement, "may_send", lambda *arguments: True),
+            (Places, "may_serve", Places._is_allowed),
+        ]:
+            with self.subTest(name), mock.patch.object(owner, name, broken):
+                self.assertGreater(play_places(6, 150, has_homes=False).evacuated(), 0)
+
+    def test_upstreams_in_an_evacuated_zone_are_not_chosen(self):
+        """Guards against attempts that the check at the send alone has to end."""
+        options = {"has_homes": False, "changes_while_connecting": False}
+        self.assertEqual(play_places(7, 150, **options).not_sent, 0)
+
+    # The order came while the connection was opened, and the request was sent to the zone.
+    def test_an_order_that_comes_while_a_connection_is_opened_binds(self):
+        received = []
+
+        def script(sock):
+            if read_request(sock):
+                received.append(sock)
+                sock.sendall(build_answer(b"good", head="Daisystack-Mark: m\r\n"))
+
+        server = ScriptedServer([script])
+        self.addCleanup(server.close)
+        requests = build_requests(
+            build_policy(build_route()), [build_upstream("u1", server.address)]
+        )
+        requests.published.reader = PlaceReader()
+        connect = DirectExchange.connect
+
+        def connect_and_evacuate(exchange):
+            connect(exchange)
+            publish(requests, KEY, b"{}")
+
+        responder = RecordingResponder()
+        with mock.patch.object(DirectExchange, "connect", connect_and_evacuate):
+            requests.handle(build_inbound(), responder)
+        self.assertEqual((responder.status, received), (503, []))
+        self.assertIn(b"Retry-After", responder.headers)
+
+    def test_a_request_that_only_evacuated_zones_could_serve_is_refused_with_the_reason(self):
+        for zones, regions in [(("z1",), frozenset()), (("z1", "z3"), frozenset({"north"}))]:
+            with self.subTest(zones=zones):
+                requests = build_requests(
+                    build_policy(build_route(allowed_regions=regions)),
+                    [build_upstream(zone, zone=zone) for zone in zones],
+                    places=Places(REGION_BY_ZONE),
+                )
+                requests.published.reader = PlaceReader()
+                publish(requests, KEY, b"{}")
+                responder = RecordingResponder()
+                requests.handle(build_inbound(), responder)
+                self.assertEqual(responder.status, 503)
+                self.assertIn(ALL_EVACUATED.encode(), responder.body)
+
+
+class TestPublication(unittest.TestCase):
+    def test_the_key_alone_is_the_order(self):
+        """Guards against an evacuation that ends because its value can't be read."""
+        for value in ({}, b"{", b""):
+            with self.subTest(value=value):
+                evacuation = read_publication("op/evacuate/mtl-a", value)
+                self.assertEqual(evacuation, ZoneEvacuation("mtl-a"))
+        with self.assertRaises(InvalidPublication):
+            read_publication("op/evacuate/", {})
+
+    def test_one_line_is_logged_for_each_change(self):
+        requests = build_requests(build_policy(build_route()), [])
+        requests.published.reader = PlaceReader()
+        with mock.patch.object(published, "log_event") as log_event:
+            for value in (b"{}", b"{ }", None, None):
+                publish(requests, KEY, value)
+        events = [type(call.args[1]).__name__ for call in log_event.call_args_list]
+        self.assertEqual(events, ["ZoneEvacuated", "ZoneReturned"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/daisystack/tests/test_store_era.py
+++ b/daisystack/tests/test_store_era.py
@@ -75,6 +75,19 @@
         self.mirror.apply_snapshot(snapshot({}, 6, 2.0 + LOST_VALUE_HOLD_S, 5))
         self.assertIsNone(self.value("servers/a"))
 
+    # Copies that were only confirmed kept lost values for good, as no full copy was read again.
+    def test_lost_value_of_a_confirmed_copy_is_kept_for_as_long_as_without_confirmations(self):
+        for confirmed_s in (2.0 + LOST_VALUE_HOLD_S - 0.1, 2.0 + LOST_VALUE_HOLD_S):
+            mirror = build_mirror()
+            mirror.apply_snapshot(snapshot({"op/a": (9, b"1"), "op/b": (4, b"1")}, 9, 1.0, 4))
+            mirror.apply_snapshot(snapshot({"op/b": (4, b"1")}, 6, 2.0, 5))
+            mirror.apply_confirmation(6, 0.0, confirmed_s, era=5)
+            expired = [change.key for change in mirror.expire_lost_values()]
+            is_held = confirmed_s < 2.0 + LOST_VALUE_HOLD_S
+            self.assertEqual(expired, [] if is_held else ["op/a"])
+            self.assertEqual([c.key for c in mirror.values() if c.key == "op/b"], ["op/b"])
+            self.assertEqual(mirror.get("op/a") is not None, is_held)
+
     def test_upstream_that_left_does_not_come_back_with_an_older_copy(self):
         self.mirror.apply_events([Change("servers/a", 10, None)], 4)
         self.mirror.apply_snapshot(snapshot({"servers/a": (6, b"2")}, 6, 2.0, 5))
@@ -156,6 +169,10 @@
     def wait(self, elapsed_s):
         self.now_s += elapsed_s
 
+    @rule(index=st.integers(0, 1))
+    def expire_lost_values(self, index):
+        self.mirrors[index].expire_lost_values()
+
     @rule(index=st.integers(0, 1))
     def read_store(self, index):
         self.pending.append((index, snapshot(self.items, self.revision, self.now_s, self.era)))
