--- a/daisystack/testing/cold_fleet.py
+++ b/daisystack/testing/cold_fleet.py
@@ -48,6 +48,7 @@
     cold_times: list[_ColdTime] = field(factory=list)
     evacuated: set[str] = field(factory=set)
     _published: dict[str, DirectUpstream] = field(factory=dict)
+    _down: dict[str, DirectUpstream] = field(factory=dict)
     _confirmed_s: dict[str, float] = field(factory=dict)
     _store_draw: random.Random = field(init=False)
 
@@ -59,16 +60,21 @@
                 self._add_upstream(f"u{zone}-{index}", f"z{zone}")
 
     def ids_of(self, zone: str) -> list[str]:
-        """Return the upstreams of a zone."""
-        return [u.id for u in self._published.values() if u.zone == zone]
+        """Return the upstreams of a zone, running or not."""
+        known = [*self._published.values(), *self._down.values()]
+        return [u.id for u in known if u.zone == zone]
 
     def go_cold(self, upstream_id: str, for_s: float) -> None:
         """Make an upstream cold from now on; its next record tells."""
         self.cold_times.append(_ColdTime(upstream_id, self.now_s, self.now_s + for_s))
 
+    def take_down(self, upstream_id: str) -> None:
+        """End an upstream and remove its record."""
+        self._down[upstream_id] = self._published.pop(upstream_id)
+
     def start_cold(self, upstream_id: str, for_s: float) -> None:
         """Start a new life of an upstream, which is cold and whose record says so at once."""
-        record = self._published[upstream_id]
+        record = self._down.pop(upstream_id)
         self._published[upstream_id] = attrs.evolve(record, started_ms=record.started_ms + 1)
         self.go_cold(upstream_id, for_s)
         self._write(upstream_id)
@@ -125,7 +131,8 @@
         self._schedule(delay_s, self._callers, lambda e: self._publish(upstream_id))
 
     def _publish(self, upstream_id: str) -> None:
-        self._write(upstream_id)
+        if upstream_id in self._published:
+            self._write(upstream_id)
         self._schedule(PUBLISH_INTERVAL_S, self._callers, lambda e: self._publish(upstream_id))
 
     def _write(self, upstream_id: str) -> None:
@@ -174,6 +181,8 @@
         placement, own_id = self.placements[entry.own.id], entry.own.id
         self._confirmed_s[own_id] = max(asked_s, self._confirmed_s.get(own_id, asked_s))
         placement.cold.record_age_s = lambda now_s: now_s - self._confirmed_s[own_id]
+        for gone in [u.id for u in placement.upstreams() if u.id not in records]:
+            placement.remove_upstream(gone)
         for record in records.values():
             known = placement.get(record.id)
             if known is None or attrs.evolve(known, is_ready=True) != record:
