--- a/daisystack/runtime/piece_source.py
+++ b/daisystack/runtime/piece_source.py
@@ -12,7 +12,7 @@
 from daisystack.core.weight_pieces import HolderPlan, PieceList, members_by_zone
 from daisystack.runtime.events import WeightSourceFailed
 from daisystack.runtime.logs import log_event
-from daisystack.runtime.peer_link import PeerError, mesh_link
+from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link
 from daisystack.wire.gen import ttypes
 
 __all__ = ["PieceSource"]
@@ -36,6 +36,7 @@
     zone: str
     # The live entries, those of the zone first.
     entries: Callable[[], list[Member]]
+    open_link: Callable[[str, float], PeerLink] = mesh_link
     _poll_count: int = 0
 
     def find_list(self, target: WeightTarget) -> PieceList | None:
@@ -73,7 +74,7 @@
         member = self.holder(FIRST_PIECE)
         if member is None:
             return False
-        link = mesh_link(member.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(member.peer_address, PEER_TIMEOUT_S)
         try:
             model, version = pieces.model, pieces.version
             request = ttypes.PieceAsk(model, version, FIRST_PIECE, 0, 0, PROBE_BYTES)
@@ -99,7 +100,7 @@
     def _request_list(
         self, member: Member, target: WeightTarget, wait_s: float = 0.0
     ) -> PieceList | None:
-        link = mesh_link(member.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(member.peer_address, PEER_TIMEOUT_S)
         try:
             digests = link.call("digests", target.model, target.version, int(wait_s * MS_PER_S))
             return PieceList(target.model, target.version, tuple(digests)) if digests else None
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -63,6 +63,7 @@
     serving_agents: Callable[[int], list[Member]] = lambda version: []
     # Returns how many connections the origin accepts from all entries together, 0 for any number.
     origin_connections: Callable[[], int] = lambda: 0
+    open_link: Callable[[str, float], PeerLink] = mesh_link
     cache: PieceCache = field(factory=PieceCache)
     origin_bytes: int = 0
     origin_calls: int = 0
@@ -153,7 +154,7 @@
 
     def _read_peer_list(self, model: str, version: int) -> PieceList | None:
         for source in self._list_sources():
-            link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+            link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
             try:
                 digests = link.call("digests", model, version, _wait_ms(PEER_WAIT_S))
                 if digests:
@@ -238,7 +239,7 @@
         if not agents:
             return False
         source = agents[index % len(agents)]
-        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             with self._agent_slots:
                 body = pull_piece_in_slices(
@@ -253,7 +254,7 @@
         return body is not None and self.cache.put(pieces, index, body)
 
     def _pull_from_peer(self, pieces: PieceList, index: int, source: Member) -> bool:
-        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
         except PeerError as error:
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -35,7 +35,7 @@
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.metrics_server import MetricsServer, Sample
-from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link, serve_peers
+from daisystack.runtime.peer_link import PeerError, PeerLink, serve_peers
 from daisystack.runtime.piece_source import PieceSource
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
@@ -122,7 +122,7 @@
         targets = Targets(self.settings.publication_bound_s)
         self.mesh = MeshTask(own, identity.seeds, (), lambda mirror, changes: None, targets=targets)
         self.mesh.on_target.append(lambda target: self._check_fill_due())
-        self.piece_source = PieceSource(identity.zone, self._entries)
+        self.piece_source = PieceSource(identity.zone, self._entries, self._open_link)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
     def start(self) -> None:
@@ -265,6 +265,9 @@
         bound_s = self.settings.version_bound_s
         return self.mesh.targets.usable_versions(model, serving, bound_s, now_s())
 
+    def _open_link(self, address: str, timeout_s: float) -> PeerLink:
+        return self.mesh.open_link(address, timeout_s)
+
     def _entries(self) -> list[Member]:
         """Return the live entries, those of this agent's zone first."""
         entries = self.mesh.live_entries(now_s())
@@ -349,7 +352,7 @@
         member = self.piece_source.holder(index)
         if member is None:
             return False
-        link = links.setdefault(member.id, mesh_link(member.peer_address, PULL_TIMEOUT_S))
+        link = links.setdefault(member.id, self._open_link(member.peer_address, PULL_TIMEOUT_S))
         try:
             body = self._request_piece(link, pieces, index)
         except PeerError as error:
