Stage the next version while an engine loads the one before

Callers saw: two versions are published 2 s apart and the origin goes down; once the first has expired no engine serves anything until the second is complete. Cause: an agent did nothing while its engine completed its requests and loaded, up to 2.5 s in which its link was idle and entries held pieces of the next version. An engine takes the staged pieces when it accepts the order, so they may be replaced from then on; the agent now knows from the order count and the incarnation that the load in progress is the one that it ordered. Without that (an agent that has just started) it waits as before. Evidence, in passed time (test_rollout_load): staged pieces of version 3 while engines load version 2: none before, some at each engine now.

--- a/daisystack/core/rollout_schedule.py
+++ b/daisystack/core/rollout_schedule.py
@@ -1,4 +1,4 @@
-"""Schedule when each serving engine of a service loads another version."""
+"""Schedule when each serving engine of a service loads another version, and track its order."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
 from attrs import frozen
 
 from daisystack.core.rendezvous import rank_members
+from daisystack.core.weight_pieces import EngineState
 
-__all__ = ["RolloutSchedule", "order_time_s"]
+__all__ = ["OrderedLoad", "RolloutSchedule", "order_time_s"]
 
 # Covers the delay until a new version is known and the last read of the pieces before the order.
 LAST_ORDER_MARGIN_S = 0.7
@@ -33,6 +34,23 @@
         return ranked.index(self.own_id) / (len(ranked) - 1)
 
 
+@frozen
+class OrderedLoad:
+    """Load of a version that an engine was ordered to begin, with its state before the order."""
+
+    version: int
+    started_ms: int
+    order_count: int
+
+    def is_running(self, state: EngineState) -> bool:
+        """Return whether the engine accepted the order and has not completed it.
+
+        The engine then no longer needs the staged pieces, since it takes them when it accepts.
+        """
+        is_accepted = state.order_count > self.order_count
+        return state.is_busy and is_accepted and state.started_ms == self.started_ms
+
+
 def order_time_s(schedule: RolloutSchedule, ready_s: float) -> float:
     """Return when to order a serving engine to load, given when its pieces were staged."""
     last_s = schedule.deadline_s - LAST_ORDER_MARGIN_S
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -15,7 +15,7 @@
 from daisystack.core.direct_settings import ProcessIdentity, WeightAgentSettings
 from daisystack.core.engine_status import EngineStatus, ReportPacer
 from daisystack.core.membership import Member, MemberRole
-from daisystack.core.rollout_schedule import RolloutSchedule, order_time_s
+from daisystack.core.rollout_schedule import OrderedLoad, RolloutSchedule, order_time_s
 from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.version_choice import VersionChoice
 from daisystack.core.weight_pieces import EngineState, PieceList, piece_matches
@@ -103,6 +103,7 @@
     _staged_key: tuple[str, int, int] | None = None
     _is_engine_lost: bool = False
     _progress: _PullProgress | None = None
+    _ordered: OrderedLoad | None = None
     _pacer: ReportPacer = field(factory=ReportPacer)
     _fill_due: Event = field(factory=Event)
 
@@ -222,7 +223,19 @@
         target, state = self._target(), self.engine_state
         if target is None:
             return False
-        return state is None or not (state.version == target.version or state.is_busy)
+        if state is None:
+            return True
+        version = self._held_or_loading_version(state)
+        if state.is_busy and version == state.version:
+            # What the engine loads is not known.
+            return False
+        return version != target.version
+
+    def _held_or_loading_version(self, state: EngineState) -> int:
+        """Return the version for which the engine needs no staged pieces any more."""
+        if self._ordered is not None and self._ordered.is_running(state):
+            return self._ordered.version
+        return state.version
 
     def _fill(self) -> None:
         """Wait until the engine may need weights; an idle agent does not wake up to check."""
@@ -261,9 +274,9 @@
         return None
 
     def _usable_versions(self, model: str) -> list[int]:
-        serving = self.engine_state.version if self.engine_state else 0
+        above = self._held_or_loading_version(self.engine_state) if self.engine_state else 0
         bound_s = self.settings.version_bound_s
-        return self.mesh.targets.usable_versions(model, serving, bound_s, now_s())
+        return self.mesh.targets.usable_versions(model, above, bound_s, now_s())
 
     def _open_link(self, address: str, timeout_s: float) -> PeerLink:
         return self.mesh.open_link(address, timeout_s)
@@ -396,6 +409,7 @@
         if self._find_missing(pieces) or not self._is_wanted(pieces):
             return
         self.orders += 1
+        self._ordered = OrderedLoad(pieces.version, state.started_ms, state.order_count)
         try:
             answer = self.engine.order_load(pieces.model, pieces.version, state.order_count)
             reason = answer.reason
