Pull an entry's share of a version again until it is held

Callers saw: after an outage of the origin of weights, engines stayed without weights for longer than the links explain. Cause: an entry started the pulls of its share once. A pull ends without its piece while the origin is down; after that only an agent that waited for this very piece started it again, and agents wait for two pieces at a time. Change: the share is pulled until it is held or a newer version is wanted. All pulls of an entry share one back-off after three failures in a row, so that this does not multiply calls to an origin that is down.

--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -11,7 +11,7 @@
 
 from daisystack.backends import BackendError, WeightOrigin
 from daisystack.core.membership import Member
-from daisystack.core.pull_pace import slice_pause_s
+from daisystack.core.pull_pace import SourceBackoff, slice_pause_s
 from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.weight_pieces import (
     MAX_ORIGIN_CONNECTIONS,
@@ -69,6 +69,7 @@
     origin_calls: int = 0
     peer_bytes: int = 0
     agent_bytes: int = 0
+    _origin_backoff: SourceBackoff = field(factory=SourceBackoff)
     _pulling: set[tuple[str, int, int]] = field(factory=set)
     _fetching_lists: set[tuple[str, int]] = field(factory=set)
     _agent_slots: Semaphore = field(factory=lambda: Semaphore(MAX_AGENT_PULLS))
@@ -120,17 +121,18 @@
             return
         own = self.own_member()
         own_indexes = self._build_plan().pieces_held_by(own.id, own.zone, len(pieces.digests))
-        for index in own_indexes:
-            self._start_pull(pieces, index)
-        while not self._holds_all(pieces, own_indexes):
+        # A pull ends without its piece while the origin is down, and is started again here.
+        while missing := self._find_missing(pieces, own_indexes):
             if self.targets.version(target.model) != target.version:
                 return
+            for index in missing:
+                self._start_pull(pieces, index)
             eventlet.sleep(POLL_INTERVAL_S)
         took_s = now_s() - started_s
         log_event(_logger, WeightsHeld(target.model, target.version, len(own_indexes), took_s))
 
-    def _holds_all(self, pieces: PieceList, indexes: list[int]) -> bool:
-        return all(self.cache.get(pieces.digests[index]) is not None for index in indexes)
+    def _find_missing(self, pieces: PieceList, indexes: list[int]) -> list[int]:
+        return [index for index in indexes if self.cache.get(pieces.digests[index]) is None]
 
     def _start_list_fetch(self, model: str, version: int) -> None:
         if (model, version) not in self._fetching_lists:
@@ -222,7 +224,6 @@
             while rejected < MAX_REJECTED:
                 body = self._fetch_from_origin(pieces, index)
                 if body is None:
-                    eventlet.sleep(RETRY_S)
                     return
                 if self.cache.put(pieces, index, body):
                     return
@@ -282,14 +283,19 @@
     def _fetch_from_origin(self, pieces: PieceList, index: int) -> bytes | None:
         origin_and_zone = self.find_origin()
         if origin_and_zone is None:
+            eventlet.sleep(RETRY_S)
             return None
         with self._origin_slots:
+            # Pulls that wait here after a failure call the origin once each time it may be back.
+            eventlet.sleep(self._origin_backoff.wait_s(now_s()))
             self.origin_calls += 1
             try:
                 body = origin_and_zone[0].piece(pieces.model, pieces.version, index)
             except BackendError as error:
                 log_event(_logger, WeightSourceFailed("origin", str(error)))
+                self._origin_backoff.record_failure(now_s())
                 return None
+        self._origin_backoff.record_success()
         self.origin_bytes += len(body)
         return body
 
--- a/daisystack/testing/rollout_fleet.py
+++ b/daisystack/testing/rollout_fleet.py
@@ -228,11 +228,11 @@
         shares = [share for at_s, share in self.accepting if from_s <= at_s < until_s]
         return sum(shares) / len(shares)
 
-    def held_pieces(self, version: int) -> int:
-        """Return how many pieces of a version some entry holds."""
-        pieces = self.origin.list_of(version)
-        held = (any(e.cache.get(d) is not None for e in self.entries) for d in pieces.digests)
-        return sum(held)
+    def held_pieces(self, version: int, zone: str) -> int:
+        """Return how many pieces of a version the entries of a zone hold."""
+        entries = [entry for entry in self.entries if entry.own_member().zone == zone]
+        digests = self.origin.list_of(version).digests
+        return sum(any(entry.cache.get(d) is not None for entry in entries) for d in digests)
 
     def _sample(self) -> None:
         eventlet.sleep(SAMPLE_INTERVAL_S)
--- a/daisystack/tests/test_rollout_load.py
+++ b/daisystack/tests/test_rollout_load.py
@@ -11,9 +11,12 @@
 import eventlet
 
 from daisystack.core.digests import digest_bytes
-from daisystack.testing.fleet import run_in_passed_time
+from daisystack.core.pull_pace import FAILURES_BEFORE_BACKOFF, RETRY_INTERVAL_S, SourceBackoff
+from daisystack.testing.fleet import BYTES_PER_MBIT, run_in_passed_time
 from daisystack.testing.rollout_fleet import RolloutFleet
 
+# Latency, retries, and shared connections at the origin, whose first pieces arrive together.
+MARGIN_S = 1.0
 WIDE = (("z0", "z1", "z2"), 12, 8)
 SMALL = (("z0",), 4, 6)
 
@@ -38,9 +41,17 @@
         self.staged_while_loading = [self.count_staged(engine) for engine in loading]
         eventlet.sleep(2.2)
         fleet.origin.is_down = False
+        eventlet.sleep(self.least_time_at_origin_s() + MARGIN_S)
+        self.held_after = [fleet.held_pieces(3, zone) for zone in fleet.zones]
         eventlet.sleep(10.0)
         return self
 
+    def least_time_at_origin_s(self):
+        """Return how long the origin's link needs for the pieces that the entries lack."""
+        fleet = self.fleet
+        missing = fleet.piece_count - fleet.held_pieces(3, fleet.zones[0])
+        return missing * fleet.piece_bytes / (fleet.origin_mbps * BYTES_PER_MBIT)
+
     def count_staged(self, engine):
         digests = self.fleet.origin.list_of(3).digests
         return sum(digest_bytes(body) == digests[index] for index, body in engine.pieces.items())
@@ -60,6 +71,13 @@
                 self.assertGreater(len(staged), 0)
                 self.assertGreater(min(staged), 0)
 
+    # Entries pulled a missing piece only while an agent waited for just that one.
+    def test_entries_hold_their_pieces_as_soon_as_the_origin_sent_them(self):
+        for size in (WIDE, SMALL):
+            with self.subTest(size):
+                held = play(size).held_after
+                self.assertEqual(held, [play(size).fleet.piece_count] * len(held))
+
     # WHOLE: pieces of the next version replace staged ones while an engine still loads those.
     def test_each_load_takes_the_pieces_of_its_version(self):
         for size in (WIDE, SMALL):
@@ -71,5 +89,20 @@
                     self.assertEqual(digests, origin.list_of(version).digests)
 
 
+class TestSourceBackoff(unittest.TestCase):
+    # Pulls of different pieces called an origin that was down without a pause between them.
+    def test_failures_in_a_row_pause_all_calls_until_one_succeeds(self):
+        backoff = SourceBackoff()
+        for _ in range(FAILURES_BEFORE_BACKOFF - 1):
+            backoff.record_failure(10.0)
+        self.assertEqual(backoff.wait_s(10.0), 0.0)
+        backoff.record_failure(10.0)
+        self.assertAlmostEqual(backoff.wait_s(10.125), RETRY_INTERVAL_S - 0.125)
+        self.assertEqual(backoff.wait_s(11.0), 0.0)
+        backoff.record_success()
+        backoff.record_failure(11.0)
+        self.assertEqual(backoff.wait_s(11.0), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
