--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -11,7 +11,7 @@
 
 from daisystack.backends import BackendError, WeightOrigin
 from daisystack.core.membership import Member
-from daisystack.core.pull_pace import slice_pause_s
+from daisystack.core.pull_pace import SourceBackoff, slice_pause_s
 from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.weight_pieces import (
     MAX_ORIGIN_CONNECTIONS,
@@ -63,11 +63,13 @@
     serving_agents: Callable[[int], list[Member]] = lambda version: []
     # Returns how many connections the origin accepts from all entries together, 0 for any number.
     origin_connections: Callable[[], int] = lambda: 0
+    open_link: Callable[[str, float], PeerLink] = mesh_link
     cache: PieceCache = field(factory=PieceCache)
     origin_bytes: int = 0
     origin_calls: int = 0
     peer_bytes: int = 0
     agent_bytes: int = 0
+    _origin_backoff: SourceBackoff = field(factory=SourceBackoff)
     _pulling: set[tuple[str, int, int]] = field(factory=set)
     _fetching_lists: set[tuple[str, int]] = field(factory=set)
     _agent_slots: Semaphore = field(factory=lambda: Semaphore(MAX_AGENT_PULLS))
@@ -119,17 +121,18 @@
             return
         own = self.own_member()
         own_indexes = self._build_plan().pieces_held_by(own.id, own.zone, len(pieces.digests))
-        for index in own_indexes:
-            self._start_pull(pieces, index)
-        while not self._holds_all(pieces, own_indexes):
+        # A pull ends without its piece while the origin is down, and is started again here.
+        while missing := self._find_missing(pieces, own_indexes):
             if self.targets.version(target.model) != target.version:
                 return
+            for index in missing:
+                self._start_pull(pieces, index)
             eventlet.sleep(POLL_INTERVAL_S)
         took_s = now_s() - started_s
         log_event(_logger, WeightsHeld(target.model, target.version, len(own_indexes), took_s))
 
-    def _holds_all(self, pieces: PieceList, indexes: list[int]) -> bool:
-        return all(self.cache.get(pieces.digests[index]) is not None for index in indexes)
+    def _find_missing(self, pieces: PieceList, indexes: list[int]) -> list[int]:
+        return [index for index in indexes if self.cache.get(pieces.digests[index]) is None]
 
     def _start_list_fetch(self, model: str, version: int) -> None:
         if (model, version) not in self._fetching_lists:
@@ -153,7 +156,7 @@
 
     def _read_peer_list(self, model: str, version: int) -> PieceList | None:
         for source in self._list_sources():
-            link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+            link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
             try:
                 digests = link.call("digests", model, version, _wait_ms(PEER_WAIT_S))
                 if digests:
@@ -221,7 +224,6 @@
             while rejected < MAX_REJECTED:
                 body = self._fetch_from_origin(pieces, index)
                 if body is None:
-                    eventlet.sleep(RETRY_S)
                     return
                 if self.cache.put(pieces, index, body):
                     return
@@ -238,7 +240,7 @@
         if not agents:
             return False
         source = agents[index % len(agents)]
-        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             with self._agent_slots:
                 body = pull_piece_in_slices(
@@ -253,7 +255,7 @@
         return body is not None and self.cache.put(pieces, index, body)
 
     def _pull_from_peer(self, pieces: PieceList, index: int, source: Member) -> bool:
-        link = mesh_link(source.peer_address, PEER_TIMEOUT_S)
+        link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
         try:
             body = pull_piece(link, pieces.model, pieces.version, index, PEER_WAIT_S)
         except PeerError as error:
@@ -281,14 +283,19 @@
     def _fetch_from_origin(self, pieces: PieceList, index: int) -> bytes | None:
         origin_and_zone = self.find_origin()
         if origin_and_zone is None:
+            eventlet.sleep(RETRY_S)
             return None
         with self._origin_slots:
+            # Pulls that wait here after a failure call the origin once each time it may be back.
+            eventlet.sleep(self._origin_backoff.wait_s(now_s()))
             self.origin_calls += 1
             try:
                 body = origin_and_zone[0].piece(pieces.model, pieces.version, index)
             except BackendError as error:
                 log_event(_logger, WeightSourceFailed("origin", str(error)))
+                self._origin_backoff.record_failure(now_s())
                 return None
+        self._origin_backoff.record_success()
         self.origin_bytes += len(body)
         return body
 
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -15,7 +15,7 @@
 from daisystack.core.direct_settings import ProcessIdentity, WeightAgentSettings
 from daisystack.core.engine_status import EngineStatus, ReportPacer
 from daisystack.core.membership import Member, MemberRole
-from daisystack.core.rollout_schedule import RolloutSchedule, order_time_s
+from daisystack.core.rollout_schedule import OrderedLoad, RolloutSchedule, order_time_s
 from daisystack.core.targets import Targets, WeightTarget
 from daisystack.core.version_choice import VersionChoice
 from daisystack.core.weight_pieces import EngineState, PieceList, piece_matches
@@ -35,7 +35,7 @@
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
 from daisystack.runtime.metrics_server import MetricsServer, Sample
-from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link, serve_peers
+from daisystack.runtime.peer_link import PeerError, PeerLink, serve_peers
 from daisystack.runtime.piece_source import PieceSource
 from daisystack.runtime.piece_task import pull_piece, pull_piece_in_slices
 from daisystack.runtime.stopping import wait_for_stop
@@ -103,6 +103,7 @@
     _staged_key: tuple[str, int, int] | None = None
     _is_engine_lost: bool = False
     _progress: _PullProgress | None = None
+    _ordered: OrderedLoad | None = None
     _pacer: ReportPacer = field(factory=ReportPacer)
     _fill_due: Event = field(factory=Event)
 
@@ -122,7 +123,7 @@
         targets = Targets(self.settings.publication_bound_s)
         self.mesh = MeshTask(own, identity.seeds, (), lambda mirror, changes: None, targets=targets)
         self.mesh.on_target.append(lambda target: self._check_fill_due())
-        self.piece_source = PieceSource(identity.zone, self._entries)
+        self.piece_source = PieceSource(identity.zone, self._entries, self._open_link)
         self.metrics = MetricsServer(self.settings.metrics_address, self._samples)
 
     def start(self) -> None:
@@ -222,7 +223,19 @@
         target, state = self._target(), self.engine_state
         if target is None:
             return False
-        return state is None or not (state.version == target.version or state.is_busy)
+        if state is None:
+            return True
+        version = self._held_or_loading_version(state)
+        if state.is_busy and version == state.version:
+            # What the engine loads is not known.
+            return False
+        return version != target.version
+
+    def _held_or_loading_version(self, state: EngineState) -> int:
+        """Return the version for which the engine needs no staged pieces any more."""
+        if self._ordered is not None and self._ordered.is_running(state):
+            return self._ordered.version
+        return state.version
 
     def _fill(self) -> None:
         """Wait until the engine may need weights; an idle agent does not wake up to check."""
@@ -261,9 +274,12 @@
         return None
 
     def _usable_versions(self, model: str) -> list[int]:
-        serving = self.engine_state.version if self.engine_state else 0
+        above = self._held_or_loading_version(self.engine_state) if self.engine_state else 0
         bound_s = self.settings.version_bound_s
-        return self.mesh.targets.usable_versions(model, serving, bound_s, now_s())
+        return self.mesh.targets.usable_versions(model, above, bound_s, now_s())
+
+    def _open_link(self, address: str, timeout_s: float) -> PeerLink:
+        return self.mesh.open_link(address, timeout_s)
 
     def _entries(self) -> list[Member]:
         """Return the live entries, those of this agent's zone first."""
@@ -349,7 +365,7 @@
         member = self.piece_source.holder(index)
         if member is None:
             return False
-        link = links.setdefault(member.id, mesh_link(member.peer_address, PULL_TIMEOUT_S))
+        link = links.setdefault(member.id, self._open_link(member.peer_address, PULL_TIMEOUT_S))
         try:
             body = self._request_piece(link, pieces, index)
         except PeerError as error:
@@ -393,6 +409,7 @@
         if self._find_missing(pieces) or not self._is_wanted(pieces):
             return
         self.orders += 1
+        self._ordered = OrderedLoad(pieces.version, state.started_ms, state.order_count)
         try:
             answer = self.engine.order_load(pieces.model, pieces.version, state.order_count)
             reason = answer.reason
--- /dev/null
+++ b/daisystack/tests/test_rollout_load.py
@@ -0,0 +1,108 @@
+"""Run rollouts in passed time in which the origin of weights goes away.
+
+Pattern: two versions are published two seconds apart, and the origin goes down while the entries
+hold some pieces of the second. The first version expires before the second can be complete, so all
+engines stop at the same time until it is.
+"""
+
+import functools
+import unittest
+
+import eventlet
+
+from daisystack.core.digests import digest_bytes
+from daisystack.core.pull_pace import FAILURES_BEFORE_BACKOFF, RETRY_INTERVAL_S, SourceBackoff
+from daisystack.testing.fleet import BYTES_PER_MBIT, run_in_passed_time
+from daisystack.testing.rollout_fleet import RolloutFleet
+
+# Latency, retries, and shared connections at the origin, whose first pieces arrive together.
+MARGIN_S = 1.0
+WIDE = (("z0", "z1", "z2"), 12, 8)
+SMALL = (("z0",), 4, 6)
+
+
+class TwoVersions:
+    """A fleet after two versions, the second of which the entries held in part for a while."""
+
+    def __init__(self, zones, entries, agents):
+        self.fleet = RolloutFleet(zones=zones, entries_per_zone=entries, agents_per_zone=agents)
+
+    def play(self):
+        fleet = self.fleet
+        fleet.start()
+        eventlet.sleep(2.0)
+        fleet.publish(2)
+        eventlet.sleep(2.0)
+        fleet.publish(3)
+        eventlet.sleep(0.5)
+        fleet.origin.is_down = True
+        eventlet.sleep(3.8)
+        loading = [agent.engine for agent in fleet.agents if agent.engine.is_busy]
+        self.staged_while_loading = [self.count_staged(engine) for engine in loading]
+        eventlet.sleep(2.2)
+        fleet.origin.is_down = False
+        eventlet.sleep(self.least_time_at_origin_s() + MARGIN_S)
+        self.held_after = [fleet.held_pieces(3, zone) for zone in fleet.zones]
+        eventlet.sleep(10.0)
+        return self
+
+    def least_time_at_origin_s(self):
+        """Return how long the origin's link needs for the pieces that the entries lack."""
+        fleet = self.fleet
+        missing = fleet.piece_count - fleet.held_pieces(3, fleet.zones[0])
+        return missing * fleet.piece_bytes / (fleet.origin_mbps * BYTES_PER_MBIT)
+
+    def count_staged(self, engine):
+        digests = self.fleet.origin.list_of(3).digests
+        return sum(digest_bytes(body) == digests[index] for index, body in engine.pieces.items())
+
+
+@functools.cache
+def play(size):
+    return run_in_passed_time(TwoVersions(*size).play)
+
+
+class TestTwoVersionsWhileTheOriginIsDown(unittest.TestCase):
+    # Links were idle while engines completed their requests before a load, for up to 2 s.
+    def test_pieces_of_the_next_version_are_staged_while_engines_load(self):
+        for size in (WIDE, SMALL):
+            with self.subTest(size):
+                staged = play(size).staged_while_loading
+                self.assertGreater(len(staged), 0)
+                self.assertGreater(min(staged), 0)
+
+    # Entries pulled a missing piece only while an agent waited for just that one.
+    def test_entries_hold_their_pieces_as_soon_as_the_origin_sent_them(self):
+        for size in (WIDE, SMALL):
+            with self.subTest(size):
+                held = play(size).held_after
+                self.assertEqual(held, [play(size).fleet.piece_count] * len(held))
+
+    # WHOLE: pieces of the next version replace staged ones while an engine still loads those.
+    def test_each_load_takes_the_pieces_of_its_version(self):
+        for size in (WIDE, SMALL):
+            origin = play(size).fleet.origin
+            for agent in play(size).fleet.agents:
+                self.assertEqual(agent.engine.version, 3)
+                for version, (_, pieces) in agent.engine.loaded.items():
+                    digests = tuple(digest_bytes(pieces[index]) for index in sorted(pieces))
+                    self.assertEqual(digests, origin.list_of(version).digests)
+
+
+class TestSourceBackoff(unittest.TestCase):
+    # Pulls of different pieces called an origin that was down without a pause between them.
+    def test_failures_in_a_row_pause_all_calls_until_one_succeeds(self):
+        backoff = SourceBackoff()
+        for _ in range(FAILURES_BEFORE_BACKOFF - 1):
+            backoff.record_failure(10.0)
+        self.assertEqual(backoff.wait_s(10.0), 0.0)
+        backoff.record_failure(10.0)
+        self.assertAlmostEqual(backoff.wait_s(10.125), RETRY_INTERVAL_S - 0.125)
+        self.assertEqual(backoff.wait_s(11.0), 0.0)
+        backoff.record_success()
+        backoff.record_failure(11.0)
+        self.assertEqual(backoff.wait_s(11.0), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
