--- a/daisystack/tests/on_platform/adapter.py
+++ b/daisystack/tests/on_platform/adapter.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).parent.parent.parent.parent
 sys.path.insert(0, str(ROOT / "platform"))
 
+import endpoints  # noqa: E402
 from daisystack.core.mirror import Change  # noqa: E402
 from documents import DocumentReader  # noqa: E402
 from engine import Origin, Runner  # noqa: E402
@@ -26,6 +27,7 @@
     "KeyValueStore",
     "Origin",
     "Runner",
+    "endpoints",
     "read_agent",
     "read_entry",
     "parse_lines",
--- a/daisystack/tests/test_evacuation.py
+++ b/daisystack/tests/test_evacuation.py
@@ -9,8 +9,6 @@
 
 import eventlet
 
-from daisystack.backends import InvalidPublication
-from daisystack.core.evacuations import ZoneEvacuation
 from daisystack.core.mirror import LOST_VALUE_HOLD_S
 from daisystack.core.placement import Placement
 from daisystack.core.placement.places import ALL_EVACUATED, Places
@@ -28,7 +26,6 @@
 from daisystack.testing.fleet import EntryFleet, run_in_passed_time
 from daisystack.testing.places import REGION_BY_ZONE, PlaceReader, play_places, publish
 from daisystack.testing.scripted import ScriptedServer, build_answer, read_request
-from daisystack.tests.on_platform.adapter import read_publication
 
 SIZES = (8, 35, 99)
 ZONES = 3
@@ -242,16 +239,7 @@
                 self.assertIn(ALL_EVACUATED.encode(), responder.body)
 
 
-class TestPublication(unittest.TestCase):
-    def test_the_key_alone_is_the_order(self):
-        """Guards against an evacuation that ends because its value can't be read."""
-        for value in ({}, b"{", b""):
-            with self.subTest(value=value):
-                evacuation = read_publication("op/evacuate/mtl-a", value)
-                self.assertEqual(evacuation, ZoneEvacuation("mtl-a"))
-        with self.assertRaises(InvalidPublication):
-            read_publication("op/evacuate/", {})
-
+class TestLog(unittest.TestCase):
     def test_one_line_is_logged_for_each_change(self):
         requests = build_requests(build_policy(build_route()), [])
         requests.published.reader = PlaceReader()
--- a/daisystack/tests/test_platform.py
+++ b/daisystack/tests/test_platform.py
@@ -7,11 +7,14 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from daisystack.core.settings import SettingsRefused
+from daisystack.runtime.web import Request
 from daisystack.tests.on_platform.adapter import (
     ROOT,
     SETTINGS,
+    endpoints,
     parse_lines,
     read_agent,
     read_entry,
@@ -19,6 +22,26 @@
 )
 
 
+class TestDirectory(unittest.TestCase):
+    # The directory ignored the host and the region, and named entries outside the host's homes.
+    def test_the_directory_is_asked_by_zone_host_and_region(self):
+        entry = mock.Mock()
+        entry.settings.identity.zone = "own-a"
+        entry.settings.address_lifetime_s = 1.0
+        entry.addresses_for.return_value = ["10.1.0.40:8005"]
+        with mock.patch.multiple(endpoints, serve_http=mock.DEFAULT, parse_address=str) as mocks:
+            endpoints.serve_endpoints(entry)
+        resolve = mocks["serve_http"].call_args.args[1][0].handler
+        for query, expected in [
+            ("name=a.example&region=mtl&zone=mtl-a", ("mtl-a", "a.example", "mtl")),
+            ("", ("own-a", "", "")),
+        ]:
+            with self.subTest(query):
+                answer = resolve(Request("GET", "", {"QUERY_STRING": query}), "")
+                self.assertEqual(answer.status, 200)
+                entry.addresses_for.assert_called_with(*expected)
+
+
 class TestName(unittest.TestCase):
     def test_platform_imports_the_standard_library_module(self):
         code = "import platform, sys; sys.exit(not hasattr(platform, 'python_version'))"
--- a/daisystack/tests/test_platform_documents.py
+++ b/daisystack/tests/test_platform_documents.py
@@ -4,6 +4,7 @@
 import unittest
 
 from daisystack.backends import InvalidPublication
+from daisystack.core.evacuations import ZoneEvacuation
 from daisystack.core.targets import WeightTarget
 from daisystack.core.traffic import RequestKind
 from daisystack.tests.on_platform.adapter import (
@@ -48,6 +49,15 @@
             read_publication("op/version/m", {"model": "m", "version": 2}), WeightTarget("m", 2)
         )
 
+    def test_a_key_alone_orders_an_evacuation(self):
+        """Guards against an evacuation that ends because its value can't be read."""
+        for value in ({}, b"{", b""):
+            with self.subTest(value=value):
+                evacuation = read_publication("op/evacuate/mtl-a", value)
+                self.assertEqual(evacuation, ZoneEvacuation("mtl-a"))
+        with self.assertRaises(InvalidPublication):
+            read_publication("op/evacuate/", {})
+
     def test_unknown_keys_are_ignored(self):
         self.assertIsNone(read_publication("op/another", {}))
 
