Carry the bound of cold upstreams from the settings to an entry's placement, and name refusals by it

Cause: a request that a cold upstream's part stops was logged as stopped by a rate limit; the wiring had no test. Change: own reasons; records without a start time are not compared with an agent's report.

--- a/daisystack/core/cold_upstreams.py
+++ b/daisystack/core/cold_upstreams.py
@@ -167,7 +167,9 @@
         """Return whether an agent has seen another life of an upstream than the published one."""
         status = self.engines.get(upstream.address, now_s)
         record = self._records.get(upstream.id)
-        if status is None or record is None or not upstream.has_engine or not status.started_ms:
+        if status is None or record is None or not upstream.has_engine:
+            return False
+        if not status.started_ms or not upstream.started_ms:
             return False
         return status.started_ms != upstream.started_ms and status.read_s > record.received_s
 
--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -53,7 +53,7 @@
         if self._must_withdraw(at_s):
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its version ends before it can begin")
         if not self.placement.take_share(self.sent, at_s):
-            raise AttemptFailed(AttemptEnd.NOT_SENT, "its upstream's rate limit is used up")
+            raise AttemptFailed(AttemptEnd.NOT_SENT, self._no_share_reason())
 
     def check_wait(self) -> None:
         """Raise AttemptFailed if the attempt must end before its answer is complete."""
@@ -67,6 +67,11 @@
             reason = "its machine stands still and no other upstream can accept it"
             raise AttemptFailed(AttemptEnd.DEADLINE, reason)
 
+    def _no_share_reason(self) -> str:
+        if self.placement.shares.limits.limit_per_s(*self.sent.incarnation) is not None:
+            return "its upstream's rate limit is used up"
+        return "its upstream is or may be cold and gets no more"
+
     def _must_withdraw(self, now_s: float) -> bool:
         deadline_s = self.placement.start_deadline_s(self.sent, self.version_deadline_s, now_s)
         return must_withdraw(self.sent, deadline_s, now_s)
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -3,12 +3,15 @@
 import unittest
 from unittest import mock
 
+from daisystack.core.cold_parts import SETTLE_S
+from daisystack.core.cold_upstreams import ColdBound
 from daisystack.core.crash_hold import Suspicion
 from daisystack.core.crash_suspects import digest_part, digest_upstream
 from daisystack.core.direct_settings import DirectEntrySettings, ProcessIdentity
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.mirror import Change, Snapshot
 from daisystack.core.targets import WeightTarget
+from daisystack.core.traffic import Service
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.direct_entry import DirectEntry
 from daisystack.runtime.mesh_task import MeshTask
@@ -32,11 +35,11 @@
         return (int(value),)
 
 
-def build_entry(publication_bound_s=2.0):
+def build_entry(publication_bound_s=2.0, **options):
     addresses = [free_address() for _ in range(6)]
     bounds_s = (1.0, 8.0, publication_bound_s, 5.0, 8.0)
     identity = ProcessIdentity("e1", "z1", "r1", ())
-    settings = DirectEntrySettings(identity, *addresses, *bounds_s, 0.2, 100.0, 10.0)
+    settings = DirectEntrySettings(identity, *addresses, *bounds_s, 0.2, 100.0, 10.0, **options)
     return DirectEntry(settings, "op/", "up/", None, Reader(), PlainDialect(), None)
 
 
@@ -138,3 +141,23 @@
         entry.leave()
         self.assertTrue(entry.mesh.own.is_leaving)
         self.assertFalse(entry.is_ready)
+
+
+class TestColdUpstreams(unittest.TestCase):
+    # FAILBACK: the bound of the settings and the age of the records did not reach the placement.
+    def test_settings_and_the_age_of_the_records_reach_the_placement(self):
+        entry = build_entry(3.0, cold_overrun=1.5, cold_slack=5.0)
+        cold, at_s = entry.placement.cold, now_s()
+        cold.update_services({"s": Service("s", 10, cold_limit_per_s=17.0)})
+        self.assertEqual(cold.bound, ColdBound(1.5, 5.0))
+        for age_s, is_unsure in ((0.5, False), (3.5, True)):
+            entry.mirrors["up/"].confirmed_s = at_s - age_s
+            self.assertEqual(cold.is_unsure(at_s), is_unsure)
+        for step in (0.0, SETTLE_S):
+            entry._refresh_shares(at_s + step)
+        self.assertTrue(cold.parts.is_settled(at_s + SETTLE_S))
+
+    def test_nothing_is_bounded_without_the_setting(self):
+        cold = build_entry().placement.cold
+        cold.update_services({"s": Service("s", 10, cold_limit_per_s=17.0)})
+        self.assertFalse(cold.is_unsure(now_s()))
