Let a new entry hold parts of cold upstreams only once it hears from another entry

Change: the settling time ends only while a peer is heard; a partition after that leaves parts as they are.

--- a/daisystack/core/cold_parts.py
+++ b/daisystack/core/cold_parts.py
@@ -29,15 +29,15 @@
 class EntriesView:
     """What an entry knows of the others now.
 
-    zone_ids are those of its zone, its own included. expects_peers is whether its settings name
-    other processes.
+    zone_ids are those of its zone, its own included. is_apart is whether it hears from no other
+    entry although its settings name other processes.
     """
 
     own_id: str
     own_zone: str
     zone_ids: frozenset[str]
     entries_by_zone: Mapping[str, int]
-    expects_peers: bool = True
+    is_apart: bool = False
 
 
 @frozen
@@ -63,7 +63,8 @@
     _sizes: dict[str, _ZoneSize] = field(factory=dict)
     _refreshed_s: float = float("-inf")
     _steady_since_s: float = float("inf")
-    _expects_peers: bool = True
+    # Since when it knows the others; infinity if it doesn't yet.
+    _settled_s: float = float("inf")
     # Rank of this entry for each upstream, until the entries of its zone change.
     _ranks: dict[str, int] = field(factory=dict)
     # Parts computed since the last refresh: they are asked for at each choice of an upstream.
@@ -72,11 +73,13 @@
     def refresh(self, view: EntriesView, now_s: float) -> None:
         """Take what this entry knows now of the others."""
         if now_s - self._refreshed_s > MAX_PAUSE_S:
-            self._steady_since_s = now_s
+            self._steady_since_s, self._settled_s = now_s, float("inf")
+        if not view.is_apart and now_s - self._steady_since_s >= SETTLE_S:
+            # A partition that comes later leaves the parts as they are.
+            self._settled_s = min(self._settled_s, now_s)
         self._refreshed_s = now_s
         self._parts.clear()
         self._own_id, self._own_zone = view.own_id, view.own_zone
-        self._expects_peers = view.expects_peers
         before = set(self._seen_s)
         self._seen_s |= dict.fromkeys(view.zone_ids | {view.own_id}, now_s)
         self._seen_s = {k: at_s for k, at_s in self._seen_s.items() if now_s - at_s <= REMEMBER_S}
@@ -93,9 +96,7 @@
 
     def is_settled(self, now_s: float) -> bool:
         """Return whether this entry knows enough of the others to hold parts."""
-        if now_s - self._refreshed_s > MAX_PAUSE_S or now_s - self._steady_since_s < SETTLE_S:
-            return False
-        return len(self._seen_s) > 1 or len(self._sizes) > 1 or not self._expects_peers
+        return now_s - self._refreshed_s <= MAX_PAUSE_S and now_s >= self._settled_s
 
     def part(self, upstream_id: str, zone: str, served_zones: Set[str], near: int, far: int) -> int:
         """Return this entry's part of the requests that an upstream gets in a second.
--- a/daisystack/runtime/cold_watch.py
+++ b/daisystack/runtime/cold_watch.py
@@ -39,7 +39,8 @@
         entries = membership.members(MemberRole.ENTRY)
         zone_ids = frozenset([own.id, *(m.id for m in entries if m.zone == own.zone)])
         sizes = {zone: size for zone, (size, _) in membership.zone_sizes(at_s).items()}
-        view = EntriesView(own.id, own.zone, zone_ids, sizes, expects_peers)
+        is_apart = expects_peers and not membership.live(MemberRole.ENTRY, at_s)
+        view = EntriesView(own.id, own.zone, zone_ids, sizes, is_apart)
         cold = self.placement.cold
         cold.parts.refresh(view, at_s)
         cold.forget_sent(at_s)
--- a/daisystack/testing/cold_plays.py
+++ b/daisystack/testing/cold_plays.py
@@ -87,6 +87,16 @@
     fleet.run(1.0)
 
 
+def all_restart_in_halves(fleet: ColdFleet) -> None:
+    """Restart all entries while half of each zone can't hear the others; then a zone returns."""
+    fleet.is_cut = lambda a, b: _half(fleet, a.id) != _half(fleet, b.id)
+    for entry_id in list(fleet.entries):
+        fleet.restart(entry_id)
+    fleet.run(3.5)
+    _start_anew(fleet, fleet.ids_of("z0"))
+    fleet.run(COLD_S + 1.0)
+
+
 def entries_freeze(fleet: ColdFleet) -> None:
     """Freeze a tenth of the entries for 4 s; they wake while a returned zone is cold."""
     for entry_id in sorted(fleet.entries)[::10]:
@@ -118,6 +128,7 @@
     "an evacuation ends": evacuation_ends,
     "0.55 of the entries restart": entries_restart,
     "halves apart for 14 s": halves_apart,
+    "all restart in halves": all_restart_in_halves,
     "a tenth freezes for 4 s": entries_freeze,
     "a third is cut off": entries_cut_off,
     "cold again while busy": cold_again,
--- a/daisystack/tests/test_cold_upstreams.py
+++ b/daisystack/tests/test_cold_upstreams.py
@@ -24,7 +24,8 @@
 ALLOWED = 30.5
 MAX_AGE_S = 3.0
 BUSY = "cold again while busy"
-SHORT = {8: set(PLAYS) - {BUSY}, 36: {"a zone returns", "0.55 of the entries restart"}}
+LARGER = {"a zone returns", "0.55 of the entries restart", "all restart in halves"}
+SHORT = {8: set(PLAYS) - {BUSY}, 36: LARGER}
 # Each upstream gets about as much as it can finish.
 USUAL = attrs.evolve(SITES[8], demand_per_s=100.0)
 
@@ -32,7 +33,8 @@
 
 
 class TestBoundOverAllEntries(unittest.TestCase):
-    # FAILBACK: entries that had just started, were apart, frozen or cut off sent beside the rest.
+    # FAILBACK: entries that had just started, were apart, frozen or cut off sent beside the rest;
+    # new ones that heard of others, and not from them, each took the parts of all.
     def test_all_entries_together_keep_the_bound_in_each_pattern(self):
         for entries, names in SHORT.items():
             for name in sorted(names):
@@ -60,12 +62,12 @@
             self.assertEqual(fleet.worst_after(1.0) < 1.5 * fleet.worst_cold(), grows_gradually)
 
 
-def refresh(parts, now_s, own="e0", entries=3, zones=1, expects_peers=True):
+def refresh(parts, now_s, own="e0", entries=3, zones=1, is_apart=False):
     """Let an entry know all entries of a fleet, spread over zones."""
     zone = int(own[1:]) % zones
     ids = frozenset(f"e{i}" for i in range(entries) if i % zones == zone)
     sizes = {f"z{z}": len(range(z, entries, zones)) for z in range(zones)}
-    parts.refresh(EntriesView(own, f"z{zone}", ids, sizes, expects_peers), now_s)
+    parts.refresh(EntriesView(own, f"z{zone}", ids, sizes, is_apart), now_s)
 
 
 class TestParts(unittest.TestCase):
@@ -95,10 +97,11 @@
             refresh(parts, at_s, entries=entries)
             self.assertEqual(parts.is_settled(at_s), expected)
         self.assertFalse(parts.is_settled(SETTLE_S + 21.0))
-        for expects_peers in (True, False):
+        for is_apart in (True, False):
             alone = ColdParts()
-            refresh(alone, 0.0, entries=1, expects_peers=expects_peers)
-            self.assertEqual(alone.is_settled(SETTLE_S), not expects_peers)
+            for at_s in (0.0, SETTLE_S):
+                refresh(alone, at_s, entries=1, is_apart=is_apart)
+            self.assertEqual(alone.is_settled(SETTLE_S), not is_apart)
 
     # Entries that lost sight of others took over parts that those still used.
     def test_a_lost_entry_keeps_its_part(self):
