--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -101,6 +101,7 @@
             zone=zone,
             places=Places(self.settings.region_by_zone),
             cold=self._build_cold(),
+            predicts_work=self.settings.predicts_work,
         )
         self.cold_watch = ColdWatch(self.placement)
         targets = Targets(self.settings.publication_bound_s)
