--- a/daisystack/testing/cold_plays.py
+++ b/daisystack/testing/cold_plays.py
@@ -70,11 +70,6 @@
     fleet.run(COLD_S + 1.0)
 
 
-def _restart_order(fleet: ColdFleet, entry_id: str) -> int:
-    """Order entries differently for each seed, and alike in each process."""
-    return (int(entry_id[1:]) * 7919 + fleet.seed * 104729) % 1009
-
-
 def halves_apart(fleet: ColdFleet) -> None:
     """Let half of the entries of each zone not hear the others for 14 s; two zones return."""
     fleet.is_cut = lambda a, b: _half(fleet, a.id) != _half(fleet, b.id)
@@ -166,3 +161,8 @@
 
 def _is_away(entry_id: str) -> bool:
     return int(entry_id[1:]) % 3 == 0
+
+
+def _restart_order(fleet: ColdFleet, entry_id: str) -> int:
+    # Other entries for each seed, and the same ones in each process.
+    return (int(entry_id[1:]) * 7919 + fleet.seed * 104729) % 1009
