--- a/daisystack/core/cold_upstreams.py
+++ b/daisystack/core/cold_upstreams.py
@@ -145,24 +145,19 @@
         limit_per_s = self._limits_per_s.get(upstream.service)
         if limit_per_s is None or self.bound is None:
             return None
-        near = self.bound.near(limit_per_s)
-        growth = self._growth(upstream, now_s)
-        if growth is not None:
-            return self._part(upstream, math.floor(near * growth + ROUNDING), 0, now_s)
-        if self._may_have_restarted(upstream, now_s):
-            return self._part(upstream, near, 0, now_s)
+        record = self._records.get(upstream.id)
+        ends_s = record.ends_s if record is not None else float("-inf")
+        if now_s < ends_s or self._may_have_restarted(upstream, now_s):
+            return self._part(upstream, self.bound.near(limit_per_s), 0, now_s)
         if self.is_unsure(now_s):
-            return self._part(upstream, near, self.bound.far(limit_per_s), now_s)
+            near, far = self.bound.near(limit_per_s), self.bound.far(limit_per_s)
+            return self._part(upstream, near, far, now_s)
+        if now_s < ends_s + RAMP_S:
+            growth = 1.0 + (RAMP_FACTOR - 1.0) * (now_s - ends_s) / RAMP_S
+            near = math.floor(self.bound.near(limit_per_s) * growth + ROUNDING)
+            return self._part(upstream, near, 0, now_s)
         return None
 
-    def _growth(self, upstream: DirectUpstream, now_s: float) -> float | None:
-        """Return the allowance in terms of the cold one; None if it has ended."""
-        record = self._records.get(upstream.id)
-        if record is None or now_s >= record.ends_s + RAMP_S:
-            return None
-        warm_share = max(0.0, now_s - record.ends_s) / RAMP_S
-        return 1.0 + (RAMP_FACTOR - 1.0) * warm_share
-
     def _may_have_restarted(self, upstream: DirectUpstream, now_s: float) -> bool:
         """Return whether an agent has seen another life of an upstream than the published one."""
         status = self.engines.get(upstream.address, now_s)
--- a/daisystack/tests/test_cold_upstreams.py
+++ b/daisystack/tests/test_cold_upstreams.py
@@ -199,6 +199,9 @@
         self.assertEqual(parts, sorted(parts))
         self.assertEqual((parts[0], parts[2]), (5, 10))
         self.assertIsNone(cold.part(upstream, NOW_S + 5.0 + RAMP_S))
+        # It may be cold again, as far as records that are too old tell.
+        cold.record_age_s = lambda now_s: 4.0
+        self.assertEqual(cold.part(upstream, NOW_S + 6.0), 5)
 
     def test_a_record_may_end_or_renew_the_cold_time(self):
         cold = build_placement().cold
