Tell returning callers by the spread of times only where work is predicted

A new request is refused above 0.7 of its objective, a returning one only when the slots are full; six in ten new ones were let in by that mistake.

Change: both detectors are kept; the mended one decides where the choice depends on who really returned. That new requests pass for returning ones elsewhere stays open.

--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -82,6 +82,10 @@
             self.view, self.counts, self.prediction, self.pauses, self.shares, self.cold
         )
 
+    def tells_returns(self, service: str) -> bool:
+        """Return whether the choice for a service depends on which callers really returned."""
+        return self.predicts_work
+
     def update_profiles(self, profiles: dict[str, EngineProfile]) -> None:
         """Store the published profile of each service with engines."""
         self.profiles = profiles
--- a/daisystack/core/resubmission.py
+++ b/daisystack/core/resubmission.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-__all__ = ["ResubmissionDetector"]
+__all__ = ["ResubmissionDetector", "SpreadTimesDetector"]
 
 # Differences between callers' clocks and network paths stay below this.
 NOISE_S = 0.1
@@ -20,6 +20,25 @@
 MIN_SAMPLES = 20
 
 
+@define
+class ResubmissionDetector:
+    """Learn the longest time that callers of each route allow, and compare requests with it.
+
+    New requests of callers that allow different times pass for resubmitted ones.
+    """
+
+    _longest_s: dict[str, float] = field(factory=dict)
+
+    def elapsed_s(self, route: str, time_left_s: float) -> float:
+        """Return how many seconds of its time a caller used before this request; 0 if new."""
+        if route not in self._longest_s and len(self._longest_s) >= MAX_ROUTES:
+            self._longest_s.clear()
+        longest_s = max(time_left_s, self._longest_s.get(route, 0.0))
+        self._longest_s[route] = longest_s
+        elapsed_s = longest_s - time_left_s
+        return elapsed_s if elapsed_s > NOISE_S else 0.0
+
+
 @define
 class _TimesLeft:
     """The times left of the latest new requests of a route, in order of arrival and sorted."""
@@ -40,7 +59,7 @@
 
 
 @define
-class ResubmissionDetector:
+class SpreadTimesDetector:
     """Learn how long the callers of each route allow while none can have been refused.
 
     Callers of one route allow different times, so that a request counts as resubmitted only with
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -31,7 +31,7 @@
     GiveUp,
     RequestState,
 )
-from daisystack.core.resubmission import ResubmissionDetector
+from daisystack.core.resubmission import ResubmissionDetector, SpreadTimesDetector
 from daisystack.core.retries import ServiceBudgets
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
@@ -140,6 +140,7 @@
     rate_limits: RateLimitWatch = field(init=False)
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
+    _spread_times: SpreadTimesDetector = field(factory=SpreadTimesDetector)
     _rng: random.Random = field(factory=random.SystemRandom)
 
     def __attrs_post_init__(self) -> None:
@@ -180,11 +181,9 @@
         summary.priority = self._priority(workspace, route)
         summary.objective_s = route.objective_s
         self._check_stopping(route, request)
-        summary.spent_before_s = self._resubmissions.elapsed_s(
-            route.name, request.time_left_s, now_s()
-        )
         service = route.choose_service(self._rng.random())
         summary.service = service
+        summary.spent_before_s = self._find_spent_s(route, service, request)
         deadline_s = inbound.arrived_s + min(route.timeout_s, request.time_left_s)
         state = RequestState(
             route.is_repeatable,
@@ -199,6 +198,12 @@
         context = _RequestContext(request, route, service, workspace, state, runner, summary)
         self._attempt_until_done(context)
 
+    def _find_spent_s(self, route: Route, service: str, request: DirectRequest) -> float:
+        """Return how much of its time a caller had used when this request arrived."""
+        spread_s = self._spread_times.elapsed_s(route.name, request.time_left_s, now_s())
+        longest_s = self._resubmissions.elapsed_s(route.name, request.time_left_s)
+        return spread_s if self.placement.tells_returns(service) else longest_s
+
     def _attempt_until_done(self, context: _RequestContext) -> None:
         request, summary = context.request, context.summary
         while True:
@@ -275,7 +280,7 @@
         requirements = self._build_requirements(context, at_s)
         chosen = self.placement.choose(requirements, at_s)
         if isinstance(chosen, Refusal):
-            self._resubmissions.record_refusal(at_s)
+            self._spread_times.record_refusal(at_s)
             if chosen.reason in PLACE_REASONS:
                 self.refusals_by_reason[chosen.reason] += 1
             raise _LocalAnswer(503, chosen.reason, self._retry_after_s(chosen))
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -2,7 +2,7 @@
 
 from daisystack.core.event_stream import MAX_EVENT_BYTES, EventSplitter
 from daisystack.core.manifests import digest_bytes
-from daisystack.core.resubmission import ResubmissionDetector
+from daisystack.core.resubmission import ResubmissionDetector, SpreadTimesDetector
 from daisystack.core.retries import WindowedBudget
 from daisystack.core.rollout_schedule import RolloutSchedule, order_time_s
 from daisystack.core.stopping import StopTimes
@@ -200,9 +200,22 @@
 
 
 class TestResubmissionDetector(unittest.TestCase):
+    def test_a_request_with_less_time_than_usual_is_a_resubmission(self):
+        detector = ResubmissionDetector()
+        time_left = [6.0, 5.98, 5.2, 6.0, 3.0]
+        elapsed = [round(detector.elapsed_s("r", time_left_s), 3) for time_left_s in time_left]
+        self.assertEqual(elapsed, [0.0, 0.0, 0.8, 0.0, 3.0])
+
+    def test_routes_are_learned_separately(self):
+        detector = ResubmissionDetector()
+        detector.elapsed_s("long", 6.0)
+        self.assertEqual(detector.elapsed_s("short", 1.5), 0.0)
+
+
+class TestSpreadTimesDetector(unittest.TestCase):
     def build_detector(self, longest_s=6.0, spread_s=0.0):
         """Return a detector that has seen 200 requests of callers that allow up to longest_s."""
-        detector = ResubmissionDetector()
+        detector = SpreadTimesDetector()
         for n in range(200):
             time_left_s = longest_s - spread_s * (n * GOLDEN_RATIO % 1.0)
             self.assertEqual(detector.elapsed_s("r", time_left_s, 0.02 * n), 0.0)
