Look at zones only where homes or evacuations exist, and move the watched fleet to testing

Cause: each choice asked about the zone of every upstream, also in deployments without homes and evacuations.

--- a/daisystack/core/placement/eligibility.py
+++ b/daisystack/core/placement/eligibility.py
@@ -45,7 +45,10 @@
             return False
         if upstream.id in requirements.excluded:
             return False
-        if not self.view.places.may_serve(upstream.zone, requirements.allowed_regions):
+        allowed_regions = requirements.allowed_regions
+        # Asked for each upstream at each choice.
+        is_restricted = allowed_regions is not None or self.view.places.evacuations.zones
+        if is_restricted and not self.view.places.may_serve(upstream.zone, allowed_regions):
             return False
         if self.pauses.is_blocked(upstream.id, upstream.started_ms, now_s):
             return False
--- a/daisystack/tests/test_evacuation.py
+++ b/daisystack/tests/test_evacuation.py
@@ -22,50 +22,12 @@
     build_route,
     build_upstream,
 )
-from daisystack.testing.fleet import EntryFleet, run_in_passed_time
+from daisystack.testing.evacuation_fleet import CONFIG_BOUND_S, EVACUATION_KEY, play_evacuation
 from daisystack.testing.places import REGION_BY_ZONE, PlaceReader, publish
 from daisystack.testing.scripted import ScriptedServer, build_answer, read_request
 
 SIZES = (8, 35, 99)
-ZONES = 3
 BOUND_S = 5.0
-# Within which a configuration must be in force; copies are confirmed as often as that needs.
-CONFIG_BOUND_S = 3.0
-SAMPLE_INTERVAL_S = 0.05
-KEY = "op/evacuate/z1"
-
-
-class WatchedFleet:
-    """A fleet, and at which times which of its entries held the zone as evacuated."""
-
-    def __init__(self, size):
-        self.fleet = EntryFleet(size, ZONES, CONFIG_BOUND_S)
-        self.fleet.start(4.0)
-        self.samples = []
-        eventlet.spawn(self._sample)
-
-    def _sample(self):
-        while True:
-            machines = [m for m in self.fleet.machines.values() if not m.is_cut_off]
-            held = {m.id: self._holds(m) for m in machines}
-            self.samples.append((now_s(), held))
-            eventlet.sleep(SAMPLE_INTERVAL_S)
-
-    def _holds(self, machine):
-        return machine.entry.placement.places.evacuations.zones == {"z1"}
-
-    def evacuate(self):
-        self.fleet.store.write(KEY, b"{}")
-        self.ordered_s = now_s()
-
-    def held_after(self, at_s, until_s=float("inf")):
-        """Return what the entries held at any sample after a time."""
-        return {
-            value
-            for sampled_s, held in self.samples
-            if at_s < sampled_s < until_s
-            for value in held.values()
-        }
 
 
 def order(watched):
@@ -109,33 +71,23 @@
     watched.evacuate()
 
 
-def play(action, size, pass_s=BOUND_S + 0.5):
-    def run():
-        watched = WatchedFleet(size)
-        action(watched)
-        eventlet.sleep(pass_s)
-        return watched
-
-    return run_in_passed_time(run)
-
-
 class TestSpread(unittest.TestCase):
     def test_every_entry_holds_a_zone_as_evacuated_within_the_bound(self):
         disturbed = (lose_readers, turn_most_away, cut_off_and_back, stop_store, miss_watches)
         for size in SIZES:
             for action in disturbed if size == 35 else (order,):
                 with self.subTest(size=size, action=action.__name__):
-                    watched = play(action, size)
+                    watched = play_evacuation(action, size, BOUND_S + 0.5)
                     self.assertEqual(watched.held_after(watched.ordered_s + BOUND_S), {True})
 
     def test_the_order_is_in_force_no_longer_within_the_bound_after_its_removal(self):
         def remove(watched):
             watched.evacuate()
             eventlet.sleep(3.0)
-            watched.fleet.store.delete(KEY)
+            watched.fleet.store.delete(EVACUATION_KEY)
             watched.ordered_s = now_s()
 
-        watched = play(remove, 35)
+        watched = play_evacuation(remove, 35, BOUND_S + 0.5)
         self.assertEqual(watched.held_after(watched.ordered_s + BOUND_S), {False})
 
 
@@ -155,13 +107,13 @@
             watched.back_s = now_s()
             then(watched)
 
-        return play(action, 35, 10.0)
+        return play_evacuation(action, 35, 10.0)
 
     # A store that came back from an older copy lacked the order, and requests went there again.
     def test_an_order_that_the_store_lost_holds_until_it_is_written_again(self):
         def write_again(watched):
             eventlet.sleep(2.0)
-            watched.fleet.store.write(KEY, b"{}")
+            watched.fleet.store.write(EVACUATION_KEY, b"{}")
 
         watched = self.go_back(write_again)
         self.assertEqual(watched.held_after(watched.back_s - 1.0), {True})
@@ -193,7 +145,7 @@
 
         def connect_and_evacuate(exchange):
             connect(exchange)
-            publish(requests, KEY, b"{}")
+            publish(requests, EVACUATION_KEY, b"{}")
 
         responder = RecordingResponder()
         with mock.patch.object(DirectExchange, "connect", connect_and_evacuate):
@@ -210,7 +162,7 @@
                     places=Places(REGION_BY_ZONE),
                 )
                 requests.published.reader = PlaceReader()
-                publish(requests, KEY, b"{}")
+                publish(requests, EVACUATION_KEY, b"{}")
                 responder = RecordingResponder()
                 requests.handle(build_inbound(), responder)
                 self.assertEqual(responder.status, 503)
@@ -223,7 +175,7 @@
         requests.published.reader = PlaceReader()
         with mock.patch.object(published, "log_event") as log_event:
             for value in (b"{}", b"{ }", None, None):
-                publish(requests, KEY, value)
+                publish(requests, EVACUATION_KEY, value)
         events = [type(call.args[1]).__name__ for call in log_event.call_args_list]
         self.assertEqual(events, ["ZoneEvacuated", "ZoneReturned"])
 
