Let large prompts in while an engine has free slots

Cause: the reserve for a request that gets in between was the same however many slots were free.

Change: the reserve grows from none at half of the slots to all at three quarters, and with the slowdown. Version ends and delayed loads use learned answer lengths too.

--- a/daisystack/core/engine_latency.py
+++ b/daisystack/core/engine_latency.py
@@ -41,7 +41,7 @@
 
 
 def predict_service_time_s(
-    profile: EngineProfile, load: EngineLoad, answer_tokens: int | None = None
+    profile: EngineProfile, load: EngineLoad, answer_tokens: float | None = None
 ) -> float:
     """Return for how many seconds a request occupies a slot; typical if its length is unknown."""
     tokens = answer_tokens or profile.typical_answer_tokens
--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -260,7 +260,7 @@
         if requirements.first_event_time_left_s is None:
             return True
         return self.prediction.is_in_time(
-            upstream, requirements, expected_s, requirements.first_event_time_left_s
+            upstream, requirements, expected_s, requirements.first_event_time_left_s, now_s
         )
 
     def _cost(
--- a/daisystack/core/placement/prediction.py
+++ b/daisystack/core/placement/prediction.py
@@ -54,12 +54,21 @@
         load = self.engine_load(upstream, profile, now_s)
         return predict_first_event_s(profile, load, requirements.prompt_tokens)
 
+    def answer_tokens(self, requirements: PlacementRequirements, now_s: float) -> float:
+        """Return the expected length of an answer; 0 if unknown."""
+        return requirements.answer_tokens
+
+    def long_answer_tokens(self, requirements: PlacementRequirements, now_s: float) -> float:
+        """Return how long an answer may well get; 0 if unknown."""
+        return requirements.max_answer_tokens or requirements.answer_tokens
+
     def is_in_time(
         self,
         upstream: DirectUpstream,
         requirements: PlacementRequirements,
         expected_s: float,
         time_left_s: float,
+        now_s: float,
     ) -> bool:
         """Return whether a first event that is predicted after expected_s is likely in time."""
         return expected_s <= time_left_s * OBJECTIVE_SLACK
@@ -105,8 +114,8 @@
         if profile is None:
             return False
         load = self.engine_load(upstream, profile, now_s)
-        expected_s = predict_first_event_s(profile, load, requirements.prompt_tokens)
-        tokens = requirements.max_answer_tokens or requirements.answer_tokens
+        expected_s = self.first_event_s(upstream, requirements, now_s) or 0.0
+        tokens = self.long_answer_tokens(requirements, now_s)
         run_s = predict_service_time_s(profile, load, tokens)
         end_s = now_s + START_WAIT_FACTOR * expected_s + RUN_TIME_FACTOR * run_s
         return end_s <= deadline_s
@@ -135,5 +144,6 @@
             return 0.0
         profile = self.view.profiles[upstream.service]
         load = self.engine_load(upstream, profile, now_s)
-        service_time_s = predict_service_time_s(profile, load, requirements.answer_tokens)
+        tokens = self.answer_tokens(requirements, now_s)
+        service_time_s = predict_service_time_s(profile, load, tokens)
         return max(0.0, now_s + expected_s + service_time_s - status.loads_at_s)
--- a/daisystack/core/placement/work_prediction.py
+++ b/daisystack/core/placement/work_prediction.py
@@ -14,6 +14,7 @@
 )
 from daisystack.core.traffic import EngineProfile
 from daisystack.core.work import (
+    AnswerEstimate,
     LearnedWork,
     UsualRequest,
     pass_s,
@@ -24,6 +25,11 @@
 
 __all__ = ["WorkPrediction"]
 
+# Between these shares of taken slots, the reserve for a request that gets in between grows from
+# none to all. An engine with many free slots takes what the objective allows.
+RESERVE_FROM_SHARE = 0.5
+RESERVE_FULL_SHARE = 0.75
+
 
 @define
 class WorkPrediction(Prediction):
@@ -43,8 +49,8 @@
             sent.predicted_work_s = self.learned.service_time_s(sent.service, sent.route, now_s)
             return
         self.learned.record_prompt(sent.service, sent.prompt_tokens, now_s)
-        answer = self.learned.estimate_answer(sent.route, sent.hint_tokens, profile, now_s)
-        sent.predicted_work_s = self._engine_work_s(sent, profile, answer.mean_tokens)
+        tokens = self.answer_tokens(requirements, now_s)
+        sent.predicted_work_s = self._engine_work_s(sent, profile, tokens)
 
     def record_answer(self, sent: SentRequest, now_s: float) -> AttemptWork | None:
         """Learn from a whole answer; return its work, None if none was predicted."""
@@ -95,12 +101,35 @@
         busy_s = (running_s + prefill_s(profile, tokens)) * load.slowdown
         return NETWORK_OVERHEAD_S + busy_s + load.slot_wait_s
 
+    def answer_tokens(self, requirements: PlacementRequirements, now_s: float) -> float:
+        """Return the expected length of an answer; 0 if unknown."""
+        answer = self._estimate_answer(requirements, now_s)
+        return answer.mean_tokens if answer else 0.0
+
+    def long_answer_tokens(self, requirements: PlacementRequirements, now_s: float) -> float:
+        """Return how long an answer may well get; 0 if unknown."""
+        if requirements.max_answer_tokens:
+            return requirements.max_answer_tokens
+        answer = self._estimate_answer(requirements, now_s)
+        return answer.long_tokens if answer else 0.0
+
+    def _estimate_answer(
+        self, requirements: PlacementRequirements, now_s: float
+    ) -> AnswerEstimate | None:
+        profile = self.view.profiles.get(requirements.service)
+        if profile is None:
+            return None
+        return self.learned.estimate_answer(
+            requirements.route, requirements.answer_tokens, profile, now_s
+        )
+
     def is_in_time(
         self,
         upstream: DirectUpstream,
         requirements: PlacementRequirements,
         expected_s: float,
         time_left_s: float,
+        now_s: float,
     ) -> bool:
         """Return whether a first event is likely in time if one more request gets in between.
 
@@ -110,6 +139,8 @@
         profile = self.view.profiles[upstream.service]
         reserve_s = pass_s(profile, upstream.slots)
         reserve_s += prefill_s(profile, profile.typical_prompt_tokens)
+        load = self.engine_load(upstream, profile, now_s)
+        reserve_s *= load.slowdown * _reserve_share(load)
         return expected_s + reserve_s <= time_left_s
 
     def _compute_load(
@@ -155,3 +186,8 @@
         seen_tokens = sent.event_count * profile.steps_per_pass
         left_tokens = self.learned.answers.mean_left(sent.route, seen_tokens, usual.answer_tokens)
         return max(1.0, left_tokens / profile.steps_per_pass)
+
+
+def _reserve_share(load: EngineLoad) -> float:
+    span = RESERVE_FULL_SHARE - RESERVE_FROM_SHARE
+    return min(1.0, max(0.0, (load.requests / load.slots - RESERVE_FROM_SHARE) / span))
