Bound what one caller or many names do to the learned sizes

Cause: a stated prompt counted in full in the mean of its service, so that one of a billion tokens made all engines look busy for a minute; services and routes of plain upstreams were kept without a bound; an answer of an engine that is no stream counted as one event.

Change: a stated prompt counts for at most eight usual ones, all tables forget what was not used for longest, and only streams teach lengths of answers.

--- a/daisystack/core/placement/work_prediction.py
+++ b/daisystack/core/placement/work_prediction.py
@@ -48,7 +48,7 @@
         if profile is None:
             sent.predicted_work_s = self.learned.service_time_s(sent.service, sent.route, now_s)
             return
-        self.learned.record_prompt(sent.service, sent.prompt_tokens, now_s)
+        self.learned.record_prompt(sent.service, sent.prompt_tokens, profile, now_s)
         tokens = self.answer_tokens(requirements, now_s)
         sent.predicted_work_s = self._engine_work_s(sent, profile, tokens)
 
--- a/daisystack/core/work/answers.py
+++ b/daisystack/core/work/answers.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from daisystack.core.work.histogram import DecayedHistogram, DecayedMean
+from daisystack.core.work.recent import RecentTable
 
 __all__ = ["AnswerEstimate", "AnswerLengths"]
 
@@ -44,17 +45,15 @@
 class AnswerLengths:
     """Answer lengths by route, learned from complete answers at this entry."""
 
-    _routes: dict[str, _RouteAnswers] = field(factory=dict)
+    routes: RecentTable[_RouteAnswers] = field(
+        factory=lambda: RecentTable(_RouteAnswers, MAX_ROUTES)
+    )
 
     def record(
         self, route: str, hint_tokens: int, tokens: float, usual_tokens: float, now_s: float
     ) -> None:
         """Record the length of a complete answer; hint_tokens is 0 for none."""
-        answers = self._routes.pop(route, None) or _RouteAnswers()
-        # Routes are kept in the order of their latest answers.
-        self._routes[route] = answers
-        if len(self._routes) > MAX_ROUTES:
-            del self._routes[next(iter(self._routes))]
+        answers = self.routes.use(route)
         answers.lengths.add(tokens, now_s)
         hint_class = _hint_class(hint_tokens, usual_tokens)
         answers.by_hint.setdefault(hint_class, DecayedMean(HALF_LIFE_S)).add(tokens, now_s)
@@ -67,7 +66,7 @@
         A hint counts for as much as answers with such hints had. A wrong one makes a request no
         cheaper than its route's answers.
         """
-        answers = self._routes.get(route)
+        answers = self.routes.get(route)
         if answers is None:
             return AnswerEstimate(usual_tokens, usual_tokens)
         lengths = answers.lengths
@@ -81,7 +80,7 @@
 
     def mean_left(self, route: str, seen_tokens: float, usual_tokens: float) -> float:
         """Return the expected tokens left of an answer of which some have come."""
-        answers = self._routes.get(route)
+        answers = self.routes.get(route)
         left = answers.lengths.mean_excess(seen_tokens) if answers else None
         return usual_tokens if left is None else left
 
--- a/daisystack/core/work/learned.py
+++ b/daisystack/core/work/learned.py
@@ -13,9 +13,13 @@
     AnswerLengths,
 )
 from daisystack.core.work.histogram import DecayedMean
+from daisystack.core.work.recent import RecentTable
 
 __all__ = ["LearnedWork", "UsualRequest"]
 
+# A stated prompt counts for at most this many usual ones in the mean.
+MAX_PROMPT_SIZE = 8
+
 
 @frozen
 class UsualRequest:
@@ -30,15 +34,20 @@
     """Sizes of prompts and answers, by route and by service."""
 
     answers: AnswerLengths = field(factory=AnswerLengths)
-    _prompt_tokens: dict[str, DecayedMean] = field(factory=dict)
-    _answer_tokens: dict[str, DecayedMean] = field(factory=dict)
+    _prompt_tokens: RecentTable[DecayedMean] = field(factory=lambda: _build_table())
+    _answer_tokens: RecentTable[DecayedMean] = field(factory=lambda: _build_table())
     # Of plain upstreams, by service and by route.
-    _service_times_s: dict[str, DecayedMean] = field(factory=dict)
-    _route_times_s: dict[str, DecayedMean] = field(factory=dict)
+    _service_times_s: RecentTable[DecayedMean] = field(factory=lambda: _build_table())
+    _route_times_s: RecentTable[DecayedMean] = field(factory=lambda: _build_table())
 
-    def record_prompt(self, service: str, tokens: int, now_s: float) -> None:
-        """Record the prompt of a request that was sent."""
-        self._prompt_tokens.setdefault(service, DecayedMean(HALF_LIFE_S)).add(tokens, now_s)
+    def record_prompt(
+        self, service: str, tokens: int, profile: EngineProfile, now_s: float
+    ) -> None:
+        """Record the prompt of a request that was sent, as its caller states it."""
+        # One caller that states far too much must not make all others look expensive.
+        counted = min(tokens, MAX_PROMPT_SIZE * profile.typical_prompt_tokens)
+        if counted > 0:
+            self._prompt_tokens.use(service).add(counted, now_s)
 
     def record_answer(
         self,
@@ -50,7 +59,7 @@
         now_s: float,
     ) -> None:
         """Record a complete answer."""
-        self._answer_tokens.setdefault(service, DecayedMean(HALF_LIFE_S)).add(tokens, now_s)
+        self._answer_tokens.use(service).add(tokens, now_s)
         usual_tokens = profile.typical_answer_tokens
         self.answers.record(route, hint_tokens, tokens, usual_tokens, now_s)
 
@@ -58,15 +67,8 @@
         self, service: str, route: str, service_time_s: float, now_s: float
     ) -> None:
         """Record how long a plain upstream took for a request."""
-        self._service_times_s.setdefault(service, DecayedMean(HALF_LIFE_S)).add(
-            service_time_s, now_s
-        )
-        times_s = self._route_times_s.pop(route, None) or DecayedMean(HALF_LIFE_S)
-        times_s.add(service_time_s, now_s)
-        # Routes are kept in the order of their latest answers.
-        self._route_times_s[route] = times_s
-        if len(self._route_times_s) > MAX_ROUTES:
-            del self._route_times_s[next(iter(self._route_times_s))]
+        self._service_times_s.use(service).add(service_time_s, now_s)
+        self._route_times_s.use(route).add(service_time_s, now_s)
 
     def service_time_s(self, service: str, route: str, now_s: float) -> float | None:
         """Return the mean time that plain upstreams take for a route; None if not known."""
@@ -99,3 +101,7 @@
 
 def _mean(values: DecayedMean | None, published: float, now_s: float) -> float:
     return values.shrunk_mean(published, PRIOR_ANSWERS, now_s) if values else published
+
+
+def _build_table() -> RecentTable[DecayedMean]:
+    return RecentTable(lambda: DecayedMean(HALF_LIFE_S), MAX_ROUTES)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -30,7 +30,7 @@
 from daisystack.core.resubmission import ResubmissionDetector
 from daisystack.core.retries import ServiceBudgets
 from daisystack.core.stopping import StopTimes
-from daisystack.core.traffic import Route, TrafficPolicy, Workspace
+from daisystack.core.traffic import RequestKind, Route, TrafficPolicy, Workspace
 from daisystack.core.upstream_pauses import parse_pause_s
 from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.attempt_guard import AttemptGuard
@@ -390,6 +390,10 @@
         is_resumed = bool(context.state.outcomes) or context.request.resume_after is not None
         if result.end is not AttemptEnd.ANSWERED or not 200 <= result.status < 300 or is_resumed:
             return None
+        # Only events show how much of an answer an engine has written.
+        has_engine = context.service in self.placement.profiles
+        if has_engine and context.route.kind is not RequestKind.STREAM:
+            return None
         return self.placement.record_answer(sent, now_s())
 
     def _version_end_s(
--- a/daisystack/tests/test_work.py
+++ b/daisystack/tests/test_work.py
@@ -12,7 +12,7 @@
 from daisystack.core.engine_status import EngineStatus, EngineStatusTable
 from daisystack.core.placement import DirectUpstream, Placement, PlacementRequirements
 from daisystack.core.settings import SettingsRefused
-from daisystack.core.work import AnswerLengths, DecayedHistogram
+from daisystack.core.work import AnswerLengths, DecayedHistogram, LearnedWork
 from daisystack.core.work.answers import MAX_ROUTES
 from daisystack.tests.on_platform.adapter import SETTINGS, parse_lines, read_entry
 
@@ -106,7 +106,7 @@
     def test_a_first_lie_is_bounded_by_what_the_route_supports(self):
         lengths, _ = self.learn(self.HINTS["near"])
         lie = lengths.estimate("digest", 1, 95, 20.0).mean_tokens
-        shortest = lengths._routes["digest"].lengths.quantile(0.2)
+        shortest = lengths.routes.get("digest").lengths.quantile(0.2)
         self.assertGreaterEqual(lie, shortest)
 
     def test_estimates_come_from_the_profile_before_answers_and_follow_a_change(self):
@@ -124,7 +124,15 @@
         for number in range(MAX_ROUTES + 10):
             lengths.record(f"r{number}", number, 100.0, 95, number * 1.0)
         self.assertEqual(lengths.estimate("r0", 0, 95, 1000.0).long_tokens, 95)
-        self.assertEqual(len(lengths._routes), MAX_ROUTES)
+        self.assertEqual(len(lengths.routes), MAX_ROUTES)
+
+    # One caller states a prompt of a billion tokens, and all engines look busy for a minute.
+    def test_one_prompt_far_too_large_hardly_changes_the_usual_one(self):
+        learned = LearnedWork()
+        for number in range(100):
+            learned.record_prompt("llm", 900, PROFILE, number * 0.1)
+        learned.record_prompt("llm", 10**9, PROFILE, 10.0)
+        self.assertLess(learned.usual_request("llm", PROFILE, 10.0).prompt_tokens, 1_000)
 
     def test_a_histogram_keeps_its_mean_over_a_long_time(self):
         histogram = DecayedHistogram(60.0)
