--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -89,6 +89,24 @@
     return responder, [s.requests if s else 0 for s in scripts], requests
 
 
+class TestPredictedWork(unittest.TestCase):
+    # Work learned from a part of an answer would make its route look cheap.
+    def test_whole_answers_of_first_attempts_are_learned_and_predicted(self):
+        server = ScriptedServer([GOOD, GOOD, TRUNCATED, GOOD])
+        upstreams = [build_upstream(f"u{i}", server.address) for i in range(2)]
+        requests = build_requests(build_policy(build_route(RequestKind.SAFE)), upstreams)
+        requests.placement.predicts_work = True
+        attempts = []
+        requests.on_attempt_ended = attempts.append
+        for _ in range(3):
+            requests.handle(build_inbound(), RecordingResponder())
+        server.close()
+        ends = ["answered", "answered", "answer_cut", "answered"]
+        self.assertEqual([attempt.end for attempt in attempts], ends)
+        self.assertEqual([attempt.work_s > 0 for attempt in attempts], [False, True, False, False])
+        self.assertTrue(0 < attempts[1].predicted_work_s <= attempts[0].took_s)
+
+
 class TestOneUpstreamFails(unittest.TestCase):
     def test_unsafe_request_is_retried_only_if_not_run(self):
         for name, script, unsafe_status, _ in CASES:
