--- a/benchmarks/model_engine.py
+++ b/benchmarks/model_engine.py
@@ -46,6 +46,8 @@
     answer_tokens: int
     first_event_s: float | None = None
     was_refused: bool = False
+    # 0 is most urgent; an engine starts the most urgent request of its queue first.
+    priority: int = 0
     pending_prompt_tokens: int = field(init=False)
     pending_answer_tokens: int = field(init=False)
     on_event: Callable[[float, bool], None] = lambda now_s, is_last: None
@@ -85,7 +87,9 @@
 
     def _begin_pass(self) -> None:
         while self.queue and len(self.running) < self.slots:
-            self.running.append(self.queue.popleft())
+            first = min(self.queue, key=lambda request: request.priority)
+            self.queue.remove(first)
+            self.running.append(first)
         self._is_in_pass = bool(self.running)
         if not self._is_in_pass:
             return
--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -68,6 +68,9 @@
     policy: str
     fault: Callable[[Simulation], None] = lambda simulation: None
     deployment: Deployment = field(factory=Deployment)
+    duration_s: float = DURATION_S
+    # Availability zone whose agents send no reports.
+    silent_zone: str = ""
     clock: Clock = field(factory=Clock)
     engines: list[ModelEngine] = field(factory=list)
     views: list[Placement] = field(factory=list)
@@ -93,19 +96,28 @@
 
     def run(self) -> None:
         """Schedule arrivals, reports, gossip and the fault, and run the clock."""
+        duration_s = self.duration_s
+        self.schedule_arrivals()
+        for step in range(int(duration_s / REPORT_INTERVAL_S)):
+            self.clock.at(step * REPORT_INTERVAL_S, self._report)
+        for step in range(int(duration_s / GOSSIP_INTERVAL_S)):
+            self.clock.at(step * GOSSIP_INTERVAL_S, self._gossip)
+        self.clock.at(duration_s / 2, partial(self.fault, self))
+        self.clock.run(duration_s + 10.0)
+
+    def schedule_arrivals(self) -> None:
+        """Schedule all requests of the run."""
         deployment = self.deployment
         per_engine = capacity_per_s(deployment.profile, deployment.slots)
         rate = self.load * deployment.engines * per_engine
         at_s = 0.0
-        while at_s < DURATION_S:
+        while at_s < self.duration_s:
             at_s += self.rng.expovariate(rate)
             self.clock.at(at_s, self._arrive)
-        for step in range(int(DURATION_S / REPORT_INTERVAL_S)):
-            self.clock.at(step * REPORT_INTERVAL_S, self._report)
-        for step in range(int(DURATION_S / GOSSIP_INTERVAL_S)):
-            self.clock.at(step * GOSSIP_INTERVAL_S, self._gossip)
-        self.clock.at(DURATION_S / 2, partial(self.fault, self))
-        self.clock.run(DURATION_S + 10.0)
+
+    def objective_s(self, request: Request) -> float:
+        """Return within which time the first event of a request is due."""
+        return self.deployment.objective_s
 
     def _arrive(self) -> None:
         profile = self.deployment.profile
@@ -124,17 +136,18 @@
         sent = view.begin(engine.id, request.prompt_tokens, self.clock.now_s)
         last_event_s = [self.clock.now_s]
         paused = [False]
+        objective_s = self.objective_s(request)
 
         def on_event(now_s: float, is_last: bool) -> None:
             sent.last_received_s = now_s
             if request.first_event_s is None:
                 request.first_event_s = now_s
-            max_pause_s = MAX_PAUSE_S + self.deployment.objective_s
+            max_pause_s = MAX_PAUSE_S + objective_s
             paused[0] = paused[0] or now_s - last_event_s[0] > max_pause_s
             last_event_s[0] = now_s
             if is_last:
                 view.end(sent, now_s)
-                in_time = request.first_event_s - request.arrived_s <= self.deployment.objective_s
+                in_time = request.first_event_s - request.arrived_s <= objective_s
                 self.met_objective[request] = in_time and not paused[0]
 
         request.on_event = on_event
@@ -154,7 +167,7 @@
     def _report(self) -> None:
         read_s = self.clock.now_s
         for engine in self.engines:
-            if read_s < engine.stalled_until_s:
+            if read_s < engine.stalled_until_s or engine.zone == self.silent_zone:
                 continue
             reported = (len(engine.running), len(engine.queue))
             for index, view in enumerate(self.views):
