Admit requests by urgency where a service's routes differ in priority

Callers with the most urgent requests were refused first when there was too little room: a request was refused when no engine was predicted to begin it within 0.7 of its own objective, so the kind with the longest objective and the smallest prompts took the room. Nobody counted workspaces, and refused callers came back at random.

Ruled out: fixed bounds on the prediction by rank (know no demand), a queue at each entry (36 queues that see the same slot), CoDel (drops after the wait), parts by what an entry sees finish (a few requests a second).

Each entry keeps a level that follows the predicted time to the first event over all engines, divides it by rank (half of the mean share to each, the rest by urgency) and max-min fairly by workspace. No message is added.

--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from daisystack.core.engine_status import EngineStatusTable
+from daisystack.core.placement.by_rank import PlacementByRank
 from daisystack.core.placement.counts import RequestCounts
 from daisystack.core.placement.eligibility import Eligibility
 from daisystack.core.placement.health import AVOID_S, UpstreamHealth
@@ -42,6 +43,8 @@
 ENGINE_QUEUE_SHARE = 0.5
 # A request predicted to use more than this share of its time is late about half of the time.
 OBJECTIVE_SLACK = 0.7
+# Requests that were admitted by urgency are sent unless they are expected to be late.
+ADMITTED_SLACK = 1.0
 # Each second that a request delays the loading of weights is lost for the engine's other slots.
 OVERRUN_COST = 0.5
 # A late answer is worth a quarter of one in time, so resubmitted requests get free slots only.
@@ -63,6 +66,7 @@
     prediction: Prediction = field(init=False)
     health: UpstreamHealth = field(init=False)
     eligibility: Eligibility = field(init=False)
+    by_rank: PlacementByRank = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.view = UpstreamView(self.engines, self.profiles, self.zone)
@@ -72,6 +76,7 @@
         self.eligibility = Eligibility(
             self.view, self.counts, self.prediction, self.pauses, self.shares
         )
+        self.by_rank = PlacementByRank(self.view, self.prediction)
 
     def update_profiles(self, profiles: dict[str, EngineProfile]) -> None:
         """Store the published profile of each service with engines."""
@@ -181,9 +186,14 @@
         if requirements.exact_version is None and not requirements.excluded:
             self.counts.count_eligible(requirements.service, eligible)
         preferred = [u for u in eligible if not self._is_avoided(u, now_s)] or eligible
-        available = [u for u in preferred if self._has_capacity(u, requirements, now_s)]
+        admitted = self.by_rank.admit(preferred, requirements, now_s)
+        if admitted is not None and not admitted.is_admitted:
+            return self.by_rank.refuse(admitted.reason, admitted, requirements, now_s)
+        judged = self.by_rank.limit_prompt(requirements)
+        available = [u for u in preferred if self._has_capacity(u, judged, now_s)]
         if not available:
-            return Refusal(f"all {len(preferred)} upstreams are full", True)
+            reason = f"all {len(preferred)} upstreams are full"
+            return self.by_rank.refuse(reason, admitted, requirements, now_s)
         if requirements.is_bulk_failover:
             # All entries would choose the same upstream; two random choices spread the load.
             available = self._draw_some(available, 2)
@@ -204,16 +214,21 @@
     def _has_capacity(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
     ) -> bool:
-        if self.counts.in_flight(upstream.id, now_s) >= _max_requests(upstream):
+        in_flight = self.counts.in_flight(upstream.id, now_s)
+        if in_flight >= _max_requests(upstream):
             return False
         expected_s = self.prediction.first_event_s(upstream, requirements, now_s)
         if expected_s is None:
             return True
         if requirements.is_resubmission:
-            return self.counts.in_flight(upstream.id, now_s) < upstream.slots * RESUBMISSION_SHARE
+            return in_flight < upstream.slots * RESUBMISSION_SHARE
         if requirements.first_event_time_left_s is None:
             return True
-        return expected_s <= requirements.first_event_time_left_s * OBJECTIVE_SLACK
+        if in_flight > upstream.slots:
+            expected_s += self.by_rank.queue_shift_s(upstream, requirements.priority, now_s)
+        has_ranks = self.by_rank.has_ranks(requirements.service)
+        slack = ADMITTED_SLACK if has_ranks else OBJECTIVE_SLACK
+        return expected_s <= requirements.first_event_time_left_s * slack
 
     def _cost(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
--- a/daisystack/core/placement/records.py
+++ b/daisystack/core/placement/records.py
@@ -8,6 +8,7 @@
 from attrs import define, frozen
 
 from daisystack.core.upstream_pauses import Incarnation
+from daisystack.core.urgency import Admission
 
 __all__ = [
     "DirectUpstream",
@@ -112,5 +113,7 @@
 
     reason: str
     is_full: bool
-    # When an upstream that wanted a pause accepts requests again; None if that is not the cause.
+    # When to come back, for a pause of the upstreams or in the order of urgency; None if unknown.
     retry_after_s: float | None = None
+    # What was decided by urgency; None if the service's routes do not differ in priority.
+    admission: Admission | None = None
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -161,6 +161,7 @@
         self.requests.on_request_ended = metrics.record_request
         self.requests.on_attempt_ended = metrics.record_attempt
         self.requests.on_expired_start = metrics.record_expired_start
+        self.requests.on_refused = metrics.record_refusal
 
     def _build_mirror_tasks(self) -> list[MirrorTask]:
         max_key_age_s = self.settings.revoke_bound_s - KEY_AGE_MARGIN_S
--- a/daisystack/runtime/direct_metrics.py
+++ b/daisystack/runtime/direct_metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Histogram, Registry
 from attrs import define, field
 
+from daisystack.core.urgency import Admission
 from daisystack.runtime.events import AttemptEnded, DirectRequestEnded, ExpiredVersionStarted
 
 __all__ = ["EntryMetrics"]
@@ -24,6 +25,7 @@
     request_time: Histogram = field(init=False)
     attempt_time: Histogram = field(init=False)
     expired_starts: Counter = field(init=False)
+    refusals: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         registry = self.registry
@@ -38,6 +40,11 @@
             "Answers whose first event came after the end of their weight version",
             registry=registry,
         )
+        self.refusals = Counter(
+            "daisystack_urgency_refusals_total",
+            "Refusals by rank (0 is most urgent) and cause: urgency, or no room at an upstream",
+            registry=registry,
+        )
         self.first_event = _histogram(
             "daisystack_first_event_seconds", "Time to the first event of a stream", registry
         )
@@ -65,6 +72,11 @@
         """Record an answer that began after the end of its weight version."""
         self.expired_starts.inc({})
 
+    def record_refusal(self, admission: Admission) -> None:
+        """Record that a service which admits by urgency refused a request."""
+        cause = "no room" if admission.is_admitted else "urgency"
+        self.refusals.inc({"rank": str(admission.rank), "cause": cause})
+
 
 def _histogram(name: str, help_text: str, registry: Registry) -> Histogram:
     return Histogram(name, help_text, buckets=LATENCY_BUCKETS_S, registry=registry)
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -31,6 +31,7 @@
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import Route, TrafficPolicy, Workspace
 from daisystack.core.upstream_pauses import parse_pause_s
+from daisystack.core.urgency import Admission
 from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import CallerGone, InboundRequest, Responder
@@ -129,6 +130,8 @@
     on_request_ended: Callable[[DirectRequestEnded], None] = lambda event: None
     on_attempt_ended: Callable[[AttemptEnded], None] = lambda event: None
     on_expired_start: Callable[[ExpiredVersionStarted], None] = lambda event: None
+    # Called for each refusal of a service that admits by urgency.
+    on_refused: Callable[[Admission], None] = lambda admission: None
     rate_limits: RateLimitWatch = field(init=False)
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
@@ -261,6 +264,8 @@
         requirements = self._build_requirements(context, at_s)
         chosen = self.placement.choose(requirements, at_s)
         if isinstance(chosen, Refusal):
+            if chosen.admission is not None:
+                self.on_refused(chosen.admission)
             raise _LocalAnswer(503, chosen.reason, self._retry_after_s(chosen))
         if not context.state.outcomes:
             summary = context.summary
@@ -471,6 +476,8 @@
 
     def _retry_after_s(self, refusal: Refusal) -> float:
         # Randomized, so that callers refused together don't retry together.
+        if refusal.admission is not None and refusal.retry_after_s is not None:
+            return refusal.retry_after_s
         if refusal.retry_after_s is not None:
             return refusal.retry_after_s + self._rng.uniform(0.0, RETRY_AFTER_PAUSE_SPREAD_S)
         if not refusal.is_full:
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -13,6 +13,7 @@
 from daisystack.core.placement import DirectUpstream, Placement
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.core.traffic import TrafficPolicy
+from daisystack.core.urgency import find_ranked_services
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import (
     PolicyTaken,
@@ -86,6 +87,7 @@
         log_event(_logger, PolicyTaken(before, publication.version, change.revision, age_s))
         profiles = {s.name: s.engine for s in publication.services.values() if s.engine}
         self.placement.update_profiles(profiles)
+        self.placement.by_rank.update_services(find_ranked_services(publication))
         for service in publication.services.values():
             if service.engine is not None:
                 first_target = WeightTarget(service.engine.model, service.engine.first_version)
