--- a/daisystack/core/placement/choice.py
+++ b/daisystack/core/placement/choice.py
@@ -12,6 +12,7 @@
 
 from daisystack.core.cold_upstreams import ColdUpstreams
 from daisystack.core.engine_status import EngineStatusTable
+from daisystack.core.placement.by_rank import PlacementByRank
 from daisystack.core.placement.counts import RequestCounts
 from daisystack.core.placement.eligibility import Eligibility
 from daisystack.core.placement.health import AVOID_S, UpstreamHealth
@@ -45,6 +46,8 @@
 PLAIN_QUEUE_SHARE = 1.0
 # Requests that may queue at an engine per slot, regardless of the predicted latency.
 ENGINE_QUEUE_SHARE = 0.5
+# Requests that were admitted by urgency are sent unless they are expected to be late.
+ADMITTED_SLACK = 1.0
 # Each second that a request delays the loading of weights is lost for the engine's other slots.
 OVERRUN_COST = 0.5
 # A late answer is worth a quarter of one in time, so resubmitted requests get free slots only.
@@ -70,6 +73,7 @@
     work: WorkPrediction = field(init=False)
     health: UpstreamHealth = field(init=False)
     eligibility: Eligibility = field(init=False)
+    by_rank: PlacementByRank = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.view = UpstreamView(self.engines, self.profiles, self.zone, places=self.places)
@@ -81,10 +85,11 @@
         self.eligibility = Eligibility(
             self.view, self.counts, self.prediction, self.pauses, self.shares, self.cold
         )
+        self.by_rank = PlacementByRank(self.view, self.prediction)
 
     def tells_returns(self, service: str) -> bool:
         """Return whether the choice for a service depends on which callers really returned."""
-        return self.predicts_work
+        return self.predicts_work or self.by_rank.has_ranks(service)
 
     def update_profiles(self, profiles: dict[str, EngineProfile]) -> None:
         """Store the published profile of each service with engines."""
@@ -222,12 +227,17 @@
         self, eligible: list[DirectUpstream], requirements: PlacementRequirements, now_s: float
     ) -> DirectUpstream | Refusal:
         preferred = [u for u in eligible if not self._is_avoided(u, now_s)] or eligible
+        admitted = self.by_rank.admit(preferred, requirements, now_s)
+        if admitted is not None and not admitted.is_admitted:
+            return self.by_rank.refuse(admitted.reason, admitted, requirements, now_s)
+        judged = self.by_rank.limit_prompt(requirements)
         if self._draws_first(preferred, requirements):
-            available = self._draw_available(preferred, requirements, now_s)
+            available = self._draw_available(preferred, judged, now_s)
         else:
-            available = [u for u in preferred if self._has_capacity(u, requirements, now_s)]
+            available = [u for u in preferred if self._has_capacity(u, judged, now_s)]
         if not available:
-            return Refusal(f"all {len(preferred)} upstreams are full", True)
+            reason = f"all {len(preferred)} upstreams are full"
+            return self.by_rank.refuse(reason, admitted, requirements, now_s)
         if requirements.is_bulk_failover:
             # All entries would choose the same upstream; two random choices spread the load.
             available = self._draw_some(available, 2)
@@ -267,18 +277,23 @@
     def _has_capacity(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
     ) -> bool:
-        if self.counts.in_flight(upstream.id, now_s) >= _max_requests(upstream):
+        in_flight = self.counts.in_flight(upstream.id, now_s)
+        if in_flight >= _max_requests(upstream):
             return False
         expected_s = self.prediction.first_event_s(upstream, requirements, now_s)
         if expected_s is None:
             return True
         if requirements.is_resubmission:
-            return self.counts.in_flight(upstream.id, now_s) < upstream.slots * RESUBMISSION_SHARE
+            return in_flight < upstream.slots * RESUBMISSION_SHARE
         if requirements.first_event_time_left_s is None:
             return True
-        return self.prediction.is_in_time(
-            upstream, requirements, expected_s, requirements.first_event_time_left_s, now_s
-        )
+        if not self.by_rank.has_ranks(requirements.service):
+            return self.prediction.is_in_time(
+                upstream, requirements, expected_s, requirements.first_event_time_left_s, now_s
+            )
+        if in_flight > upstream.slots:
+            expected_s += self.by_rank.queue_shift_s(upstream, requirements.priority, now_s)
+        return expected_s <= requirements.first_event_time_left_s * ADMITTED_SLACK
 
     def _cost(
         self, upstream: DirectUpstream, requirements: PlacementRequirements, now_s: float
--- a/daisystack/runtime/published.py
+++ b/daisystack/runtime/published.py
@@ -14,6 +14,7 @@
 from daisystack.core.placement import DirectUpstream, Placement
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.core.traffic import TrafficPolicy
+from daisystack.core.urgency import find_ranked_services
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import (
     PolicyTaken,
@@ -97,6 +98,7 @@
         profiles = {s.name: s.engine for s in publication.services.values() if s.engine}
         self.placement.update_profiles(profiles)
         self.placement.cold.update_services(publication.services)
+        self.placement.by_rank.update_services(find_ranked_services(publication))
         for service in publication.services.values():
             if service.engine is not None:
                 first_target = WeightTarget(service.engine.model, service.engine.first_version)
