--- a/daisystack/core/cold_upstreams.py
+++ b/daisystack/core/cold_upstreams.py
@@ -104,7 +104,7 @@
         }
 
     def record(self, upstream: DirectUpstream, now_s: float) -> None:
-        """Take a published record; how long its upstream stays cold counts from its receipt."""
+        """Take a published record; how long its upstream stays cold counts from now on."""
         known = self._records.get(upstream.id) or _Record(upstream, now_s, float("-inf"))
         is_cold = upstream.cold_left_s > 0
         # Without a rest, an announced cold time has ended by now.
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -34,11 +34,12 @@
 from daisystack.runtime.direct_requests import DirectRequests, DirectRequestSettings
 from daisystack.runtime.directory import Directory
 from daisystack.runtime.engine_datagrams import EngineRelay
+from daisystack.runtime.entry_gauges import read_gauges
 from daisystack.runtime.events import DaemonStarted, DaemonStopped, DaemonStopping
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
-from daisystack.runtime.metrics_server import MetricsServer, Sample
+from daisystack.runtime.metrics_server import MetricsServer
 from daisystack.runtime.mirror_task import MirrorTask
 from daisystack.runtime.peer_link import serve_peers
 from daisystack.runtime.piece_task import PieceTask
@@ -91,18 +92,7 @@
     def __attrs_post_init__(self) -> None:
         prefixes = (self.operator_prefix, self.upstream_prefix)
         self.mirrors = {prefix: Mirror(prefix, self.reader.document_version) for prefix in prefixes}
-        pauses = UpstreamPauses(self.settings.publication_bound_s)
-        zone = self.settings.identity.zone
-        rng = random.SystemRandom()
-        self.placement = Placement(
-            rng,
-            EngineStatusTable(),
-            pauses=pauses,
-            zone=zone,
-            places=Places(self.settings.region_by_zone),
-            cold=self._build_cold(),
-            predicts_work=self.settings.predicts_work,
-        )
+        self.placement = self._build_placement()
         self.cold_watch = ColdWatch(self.placement)
         targets = Targets(self.settings.publication_bound_s)
         self.published = PublishedState(self.reader, self.placement, targets)
@@ -122,16 +112,10 @@
             self.placement.places,
         )
         self._connect_rate_limits(self.requests.rate_limits)
-        address = parse_address(self.settings.caller_address)
-        self.requests.held = HeldBytes.within_memory(self.settings.memory_bytes)
-        self.server = CallerServer(
-            address,
-            self.requests.handle,
-            self._limits,
-            lambda: self.is_leaving,
-            self.requests.held,
+        self.server = self._build_server()
+        self.metrics = MetricsServer(
+            self.settings.metrics_address, lambda: read_gauges(self, now_s())
         )
-        self.metrics = MetricsServer(self.settings.metrics_address, self._gauge_samples)
         self._record_metrics(EntryMetrics(self.metrics.registry))
         self.mirror_tasks = self._build_mirror_tasks()
         self.gate = BeliefGate(
@@ -142,6 +126,28 @@
         )
         self.requests.wait_until_current = self._wait_until_current
 
+    def _build_server(self) -> CallerServer:
+        self.requests.held = HeldBytes.within_memory(self.settings.memory_bytes)
+        return CallerServer(
+            parse_address(self.settings.caller_address),
+            self.requests.handle,
+            self._limits,
+            lambda: self.is_leaving,
+            self.requests.held,
+        )
+
+    def _build_placement(self) -> Placement:
+        settings = self.settings
+        return Placement(
+            random.SystemRandom(),
+            EngineStatusTable(),
+            pauses=UpstreamPauses(settings.publication_bound_s),
+            zone=settings.identity.zone,
+            places=Places(settings.region_by_zone),
+            cold=self._build_cold(),
+            predicts_work=settings.predicts_work,
+        )
+
     def _build_cold(self) -> ColdUpstreams:
         settings = self.settings
         is_bound = settings.cold_overrun is not None
@@ -365,86 +371,6 @@
     def _ask_for_confirmation(self) -> None:
         self.mesh.ask_ranked_before(READER_DUTY)
 
-    def _gauge_samples(self) -> list[Sample]:
-        at_s = now_s()
-        samples = [
-            (f"daisystack_belief_age_{name}_seconds", f"Age of the mirror of {name}", age_s)
-            for name, age_s in (
-                ("operator", self.mirrors[self.operator_prefix].age_s(at_s)),
-                ("upstreams", self.mirrors[self.upstream_prefix].age_s(at_s)),
-            )
-        ]
-        policy = self.published.policy
-        return samples + [
-            ("daisystack_policy_version", "Version in force", policy.version if policy else 0),
-            ("daisystack_in_progress", "Requests in progress", self.server.in_progress),
-            ("daisystack_held_bytes", "Bytes held of bodies", self.requests.held.held_bytes),
-            (
-                "daisystack_held_bytes_turned_away",
-                "Times that bytes were not held for lack of room",
-                self.requests.held.turned_away,
-            ),
-            ("daisystack_ready", "Whether callers may be sent here", float(self.is_ready)),
-            ("daisystack_live_entries", "Other entries alive", len(self.mesh.live_entries(at_s))),
-            ("daisystack_retries_left", "Retries left in the window", self.requests.retries_left()),
-            (
-                "daisystack_store_calls",
-                "Calls to the store",
-                sum(t.calls for t in self.mirror_tasks),
-            ),
-            (
-                "daisystack_crashes_counted",
-                "Crashes counted",
-                self.requests.crashes.crashes_counted,
-            ),
-            ("daisystack_requests_held", "Requests held", self.requests.crashes.requests_held),
-            (
-                "daisystack_parts_held",
-                "Parts of prompts that are held",
-                len(self.requests.crashes.suspects.held_parts),
-            ),
-            ("daisystack_cold_upstreams", "Cold upstreams", len(self.placement.cold.cold(at_s))),
-            (
-                "daisystack_cold_passed_over",
-                "Times that a cold upstream got no request as this entry's part was used up",
-                self.placement.cold.passed_over,
-            ),
-            ("daisystack_outdated_refused", "Requests refused on old copies", self.gate.refused),
-            ("daisystack_mesh_exchanges", "Exchanges of news", self.mesh.exchanges),
-            ("daisystack_piece_bytes", "Memory of pieces held", self.pieces.cache.held_bytes),
-            ("daisystack_origin_bytes", "Bytes from the origin", self.pieces.origin_bytes),
-            ("daisystack_peer_bytes", "Piece bytes from entries", self.pieces.peer_bytes),
-            ("daisystack_agent_bytes", "Piece bytes from agents", self.pieces.agent_bytes),
-            (
-                "daisystack_evacuated_zones",
-                "Zones whose upstreams get no requests",
-                len(self.placement.places.evacuations.zones),
-            ),
-            (
-                "daisystack_directory_outside_homes",
-                "Answers that name entries outside a host's homes",
-                self.directory.answers_outside,
-            ),
-            *(
-                (
-                    "daisystack_place_refusals",
-                    "Requests refused because of where the upstreams lie",
-                    count,
-                    {"reason": reason},
-                )
-                for reason, count in self.requests.refusals_by_reason.items()
-            ),
-            *(
-                (
-                    "daisystack_rate_limit_per_second",
-                    "Requests per second that an upstream takes from all entries",
-                    limit_per_s,
-                    {"upstream": upstream_id},
-                )
-                for (upstream_id, _), limit_per_s in self.placement.shares.limits.limited().items()
-            ),
-        ]
-
     def _serving_agents(self, version: int) -> list[Member]:
         agents = self.mesh.membership.members(MemberRole.AGENT)
         in_zone = [agent for agent in agents if agent.zone == self.settings.identity.zone]
--- a/daisystack/tests/test_cold_upstreams.py
+++ b/daisystack/tests/test_cold_upstreams.py
@@ -33,7 +33,7 @@
 
 
 class TestBoundOverAllEntries(unittest.TestCase):
-    # FAILBACK: entries that had just started, were apart, frozen or cut off sent beside the rest;
+    # Entries that had just started, were apart, frozen or cut off sent beside the rest;
     # new ones that heard of others, and not from them, each took the parts of all.
     def test_all_entries_together_keep_the_bound_in_each_pattern(self):
         for entries, names in SHORT.items():
@@ -44,7 +44,7 @@
                     # A bound that lets nothing through would be kept too.
                     self.assertGreater(fleet.used_share(), 0.3)
 
-    # FAILBACK: upstreams that became cold while they were busy got a herd beside what they had.
+    # Upstreams that became cold while they were busy got a herd beside what they had.
     def test_upstreams_that_become_cold_under_usual_load_get_no_more(self):
         for seed in (1, 2, 3):
             fleet = play_once(BUSY, USUAL, BOUND, seed=seed)
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -144,7 +144,7 @@
 
 
 class TestColdUpstreams(unittest.TestCase):
-    # FAILBACK: the bound of the settings and the age of the records did not reach the placement.
+    # The bound of the settings and the age of the records did not reach the placement.
     def test_settings_and_the_age_of_the_records_reach_the_placement(self):
         entry = build_entry(3.0, cold_overrun=1.5, cold_slack=5.0)
         cold, at_s = entry.placement.cold, now_s()
