--- a/daisystack/tests/test_rollout_load.py
+++ b/daisystack/tests/test_rollout_load.py
@@ -12,6 +12,8 @@
 
 from daisystack.core.digests import digest_bytes
 from daisystack.core.pull_pace import FAILURES_BEFORE_BACKOFF, RETRY_INTERVAL_S, SourceBackoff
+from daisystack.core.rollout_schedule import OrderedLoad
+from daisystack.core.weight_pieces import EngineState
 from daisystack.runtime.clock import now_s
 from daisystack.testing.fleet import BYTES_PER_MBIT, run_in_passed_time
 from daisystack.testing.rollout_fleet import RolloutFleet
@@ -127,6 +129,21 @@
                     self.assertEqual(digests, origin.list_of(version).digests)
 
 
+class TestOrderedLoad(unittest.TestCase):
+    # WHOLE: pieces may be replaced only once the engine has taken them for this very order.
+    def test_only_an_accepted_order_of_this_incarnation_is_running(self):
+        order = OrderedLoad(version=2, started_ms=7, order_count=4)
+        cases = [
+            (EngineState("m", 1, True, 5, 0, 0, 7), True),
+            (EngineState("m", 1, True, 4, 0, 0, 7), False),
+            (EngineState("m", 1, False, 5, 0, 0, 7), False),
+            (EngineState("m", 0, True, 5, 0, 0, 8), False),
+        ]
+        for state, expected in cases:
+            with self.subTest(state):
+                self.assertEqual(order.is_running(state), expected)
+
+
 class TestSourceBackoff(unittest.TestCase):
     # Pulls of different pieces called an origin that was down without a pause between them.
     def test_failures_in_a_row_pause_the_calls_for_their_version_until_one_succeeds(self):
