--- a/benchmarks/work_policies.py
+++ b/benchmarks/work_policies.py
@@ -80,7 +80,7 @@
     # Whether agents report how much slower than usual their engine is.
     reports_slowdown: bool = True
     report_age_s: float = REPORT_LAG_S
-    # Kind, predicted and seen time to the first event, and prompt tokens of each request.
+    # Kind of each request, and its predicted time to the first event if it was sent.
     kind_of: dict[Request, Kind] = field(factory=dict)
     predicted_s: dict[Request, float] = field(factory=dict)
 
