--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import random
 from collections import Counter
@@ -12,7 +11,7 @@
 from attrs import define, field
 
 from daisystack.backends import RequestDialect
-from daisystack.core.direct_request import DirectAnswer, DirectRequest, InvalidRequest
+from daisystack.core.direct_request import DirectRequest, InvalidRequest
 from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.homes import find_homes
 from daisystack.core.mirror import Mirror
@@ -35,7 +34,6 @@
 from daisystack.core.retries import ServiceBudgets
 from daisystack.core.stopping import StopTimes
 from daisystack.core.traffic import RequestKind, Route, TrafficPolicy, Workspace
-from daisystack.core.upstream_pauses import parse_pause_s
 from daisystack.core.urgency import Admission
 from daisystack.core.verdicts import AttemptEnd, Verdict
 from daisystack.runtime.attempt_guard import AttemptGuard
@@ -47,35 +45,25 @@
     AttemptEnded,
     DirectRequestEnded,
     ExpiredVersionStarted,
-    UpstreamLeaving,
-    UpstreamNoticeIgnored,
-    UpstreamPaused,
+)
+from daisystack.runtime.local_answers import (
+    RETRY_AFTER_STOPPING_S,
+    RETRY_AFTER_UNAVAILABLE_S,
+    LocalAnswer,
+    find_retry_after_s,
+    send_local_answer,
 )
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.published import PublishedState
 from daisystack.runtime.rate_limit_watch import RateLimitWatch
 from daisystack.runtime.request_summary import RequestSummary
+from daisystack.runtime.upstream_reports import UpstreamReports
 
 __all__ = ["DirectRequests", "DirectRequestSettings"]
 
-# Another entry can serve the request at once.
-RETRY_AFTER_STOPPING_S = 0.02
-# Full upstreams free a slot every tenth of a second; callers that retried at the same moment
-# would all find them full again, so the delay is drawn at random.
-RETRY_AFTER_FULL_MIN_S = 0.3
-RETRY_AFTER_FULL_MAX_S = 0.9
-# Callers that wait for the end of the same pause return one after another.
-RETRY_AFTER_PAUSE_SPREAD_S = 0.5
-# Missing configuration or upstreams return after a few gossip rounds or one engine load.
-RETRY_AFTER_UNAVAILABLE_S = 1.0
 # Attempts end this long before the deadline, so that the response reaches the caller in time.
 ANSWER_MARGIN_S = 0.02
 
-# Ends of an attempt that say nothing against its upstream.
-_ENDS_WITHOUT_FAULT = frozenset(
-    {AttemptEnd.REFUSED_AT_GATE, AttemptEnd.NOT_SENT, AttemptEnd.WITHDRAWN}
-)
-
 _logger = logging.getLogger("daisystack.requests")
 
 
@@ -91,16 +79,6 @@
     retry_window_s: float
 
 
-class _LocalAnswer(Exception):
-    """Raised to end a request with a response created by this entry."""
-
-    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 @attrs.frozen(eq=False)
 class _RequestContext:
     """Hold the state of one request while it is processed."""
@@ -141,6 +119,7 @@
     # Called for each refusal of a service that admits by urgency.
     on_refused: Callable[[Admission], None] = lambda admission: None
     rate_limits: RateLimitWatch = field(init=False)
+    _reports: UpstreamReports = field(init=False)
     _budgets: ServiceBudgets = field(init=False)
     _resubmissions: ResubmissionDetector = field(factory=ResubmissionDetector)
     _spread_times: SpreadTimesDetector = field(factory=SpreadTimesDetector)
@@ -148,6 +127,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.rate_limits = RateLimitWatch(self.placement)
+        self._reports = UpstreamReports(self.placement, self.rate_limits)
         settings = self.settings
         self._budgets = ServiceBudgets(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s, self.started_s
@@ -158,8 +138,8 @@
         summary = RequestSummary(inbound)
         try:
             self._process(inbound, responder, summary)
-        except _LocalAnswer as local_answer:
-            self._send_local_answer(responder, summary, local_answer)
+        except LocalAnswer as local_answer:
+            send_local_answer(self.dialect, responder, summary.request_id, local_answer)
             self._record_end(
                 summary, "answered", local_answer.status, Verdict.NOT_RUN, local_answer.reason
             )
@@ -172,12 +152,12 @@
         self, inbound: InboundRequest, responder: Responder, summary: RequestSummary
     ) -> None:
         if not self.wait_until_current(inbound.arrived_s):
-            raise _LocalAnswer(503, "configuration is too old", RETRY_AFTER_UNAVAILABLE_S)
+            raise LocalAnswer(503, "configuration is too old", RETRY_AFTER_UNAVAILABLE_S)
         policy = self._current_policy()
         request = self._read_request(inbound, summary)
         route = policy.find_route(request.host, request.path)
         if route is None:
-            raise _LocalAnswer(404, "no route")
+            raise LocalAnswer(404, "no route")
         summary.route = route.name
         workspace = self._authorize(policy, route, request)
         summary.workspace = workspace.name if workspace else ""
@@ -215,7 +195,7 @@
                 upstream = self._choose_upstream(context)
                 # Checked again before each attempt, since the key may have been revoked in between.
                 workspace = self._authorize(self._current_policy(), context.route, request)
-            except _LocalAnswer as local_answer:
+            except LocalAnswer as local_answer:
                 self._end_without_attempt(local_answer, context)
                 return
             summary.attempts += 1
@@ -233,7 +213,7 @@
     def _current_policy(self) -> TrafficPolicy:
         policy = self.published.policy
         if policy is None:
-            raise _LocalAnswer(503, "no configuration is known yet", RETRY_AFTER_UNAVAILABLE_S)
+            raise LocalAnswer(503, "no configuration is known yet", RETRY_AFTER_UNAVAILABLE_S)
         return policy
 
     def _read_request(self, inbound: InboundRequest, summary: RequestSummary) -> DirectRequest:
@@ -242,7 +222,7 @@
                 inbound.method, inbound.target, inbound.headers, inbound.body, inbound.arrived_s
             )
         except InvalidRequest as error:
-            raise _LocalAnswer(400, str(error)) from error
+            raise LocalAnswer(400, str(error)) from error
         summary.request_id = request.id
         if request.prompt is not None:
             summary.prompt_tokens = request.prompt.prompt_tokens
@@ -255,10 +235,10 @@
             return None
         workspace = policy.find_workspace(request.api_key or "")
         if workspace is None:
-            raise _LocalAnswer(401, "no workspace holds this key")
+            raise LocalAnswer(401, "no workspace holds this key")
         age_s = self.operator_mirror.age_s(now_s())
         if age_s > self.settings.max_key_age_s:
-            raise _LocalAnswer(
+            raise LocalAnswer(
                 503, f"keys were confirmed {age_s:.1f} s ago", RETRY_AFTER_UNAVAILABLE_S
             )
         return workspace
@@ -267,19 +247,19 @@
         stop_times = self.stop_times()
         longest_s = min(route.timeout_s, request.time_left_s)
         if stop_times is not None and not stop_times.has_time_for(longest_s, now_s()):
-            raise _LocalAnswer(
+            raise LocalAnswer(
                 503, "this entry stops before the request could end", RETRY_AFTER_STOPPING_S
             )
 
     def _check_hold(self, request: DirectRequest) -> None:
         reason = self.crashes.check(request)
         if reason is not None:
-            raise _LocalAnswer(502, reason)
+            raise LocalAnswer(502, reason)
 
     def _choose_upstream(self, context: _RequestContext) -> DirectUpstream:
         at_s = now_s()
         if at_s >= context.state.deadline_s:
-            raise _LocalAnswer(503, "deadline has passed")
+            raise LocalAnswer(503, "deadline has passed")
         requirements = self._build_requirements(context, at_s)
         chosen = self.placement.choose(requirements, at_s)
         if isinstance(chosen, Refusal):
@@ -288,7 +268,7 @@
                 self.refusals_by_reason[chosen.reason] += 1
             if chosen.admission is not None:
                 self.on_refused(chosen.admission)
-            raise _LocalAnswer(503, chosen.reason, self._retry_after_s(chosen))
+            raise LocalAnswer(503, chosen.reason, find_retry_after_s(chosen, self._rng))
         if not context.state.outcomes:
             summary = context.summary
             summary.predicted_first_event_s = (
@@ -350,7 +330,7 @@
         """Return whether the key still is that of the workspace, confirmed recently enough."""
         try:
             present = self._authorize(self._current_policy(), context.route, context.request)
-        except _LocalAnswer:
+        except LocalAnswer:
             # The next attempt's own check answers the caller.
             return False
         return (present.name if present else None) == (workspace.name if workspace else None)
@@ -385,13 +365,14 @@
                 self._priority(workspace, context.route),
                 self.placement.run_until_s(upstream, requirements, started_s),
                 self._build_guard(context, upstream, workspace, sent),
-                lambda answer: self._record_answer_head(request, upstream, sent, answer),
+                lambda answer: self._reports.record_head(request, sent, upstream, answer),
             )
         finally:
             self.placement.end(sent, now_s())
         if summary.first_event_s < 0 and runner.first_event_sent_s is not None:
             summary.first_event_s = runner.first_event_sent_s - summary.inbound.arrived_s
-        self._record_result(request, upstream, result)
+        is_down = self.crashes.record_result(request, upstream, result)
+        self._reports.record_result(upstream, result, is_down)
         work = self._record_work(context, sent, result)
         event = AttemptEnded(
             request.id,
@@ -454,54 +435,12 @@
         self.on_expired_start(expired)
         log_event(_logger, expired)
 
-    def _record_answer_head(
-        self,
-        request: DirectRequest,
-        upstream: DirectUpstream,
-        sent: SentRequest,
-        answer: DirectAnswer,
-    ) -> None:
-        if answer.is_from_upstream(request.id):
-            self._record_notices(upstream, answer)
-            self.rate_limits.record_answer(upstream, sent, answer)
-
-    def _record_notices(self, upstream: DirectUpstream, answer: DirectAnswer) -> None:
-        """Record what an upstream says of itself in the head of a response."""
-        at_s = now_s()
-        pauses = self.placement.pauses
-        if answer.is_leaving and pauses.record_leaving(upstream.id, upstream.started_ms, at_s):
-            log_event(_logger, UpstreamLeaving(upstream.id, upstream.started_ms))
-        if answer.retry_after is None:
-            return
-        try:
-            pause_s = parse_pause_s(answer.retry_after)
-        except ValueError as error:
-            log_event(_logger, UpstreamNoticeIgnored(upstream.id, f"Retry-After: {error}"))
-            return
-        pauses.record_pause(upstream.id, upstream.started_ms, pause_s, at_s)
-        log_event(_logger, UpstreamPaused(upstream.id, upstream.started_ms, pause_s))
-
     def _priority(self, workspace: Workspace | None, route: Route) -> int:
         if workspace is not None and workspace.priority is not None:
             return workspace.priority
         return route.priority
 
-    def _record_result(
-        self, request: DirectRequest, upstream: DirectUpstream, result: AttemptResult
-    ) -> None:
-        at_s = now_s()
-        is_down = self.crashes.record_result(request, upstream, result)
-        if result.end is AttemptEnd.ANSWERED:
-            self.placement.record_success(upstream.id, at_s)
-            return
-        if result.end is AttemptEnd.CONNECT_FAILED:
-            self.placement.avoid(upstream.id, at_s)
-        if result.end not in _ENDS_WITHOUT_FAULT:
-            self.placement.record_failure(upstream.id, at_s)
-        if is_down:
-            self.placement.avoid(upstream.id, now_s())
-
-    def _end_without_attempt(self, local_answer: _LocalAnswer, context: _RequestContext) -> None:
+    def _end_without_attempt(self, local_answer: LocalAnswer, context: _RequestContext) -> None:
         """End a request for which no further attempt is made."""
         state, runner, summary = context.state, context.runner, context.summary
         if runner.has_started:
@@ -516,18 +455,8 @@
             self._fail(runner, summary, state.verdict, status, local_answer.reason)
 
     def _give_up(self, step: GiveUp, context: _RequestContext) -> None:
-        retry_after_s = self._retry_after_s(Refusal(step.reason, True))
-        self._end_without_attempt(_LocalAnswer(503, step.reason, retry_after_s), context)
-
-    def _retry_after_s(self, refusal: Refusal) -> float:
-        # Randomized, so that callers refused together don't retry together.
-        if refusal.admission is not None and refusal.retry_after_s is not None:
-            return refusal.retry_after_s
-        if refusal.retry_after_s is not None:
-            return refusal.retry_after_s + self._rng.uniform(0.0, RETRY_AFTER_PAUSE_SPREAD_S)
-        if not refusal.is_full:
-            return RETRY_AFTER_UNAVAILABLE_S
-        return self._rng.uniform(RETRY_AFTER_FULL_MIN_S, RETRY_AFTER_FULL_MAX_S)
+        retry_after_s = find_retry_after_s(Refusal(step.reason, True), self._rng)
+        self._end_without_attempt(LocalAnswer(503, step.reason, retry_after_s), context)
 
     def _forward_failure(self, runner: AttemptRunner, summary: RequestSummary) -> None:
         runner.forward_failure()
@@ -545,19 +474,10 @@
         status: int,
         reason: str,
     ) -> None:
-        self._send_local_answer(runner.responder, summary, _LocalAnswer(status, reason))
+        answer = LocalAnswer(status, reason)
+        send_local_answer(self.dialect, runner.responder, summary.request_id, answer)
         self._record_end(summary, "failed", status, verdict, reason)
 
-    def _send_local_answer(
-        self, responder: Responder, summary: RequestSummary, local_answer: _LocalAnswer
-    ) -> None:
-        headers = self.dialect.echo_headers(summary.request_id)
-        headers.append((b"Content-Type", b"application/json"))
-        if local_answer.retry_after_s is not None:
-            headers.append((b"Retry-After", f"{local_answer.retry_after_s:.2f}".encode()))
-        body = json.dumps({"error": local_answer.reason}).encode() + b"\n"
-        responder.send_answer(local_answer.status, headers, body)
-
     def retries_left(self) -> float:
         """Return the number of retries left in the budget with the fewest left."""
         return self._budgets.remaining(self.count_entries(), now_s())
