--- a/daisystack/core/cold_parts.py
+++ b/daisystack/core/cold_parts.py
@@ -99,6 +99,14 @@
         """Return whether this entry knows enough of the others to hold parts."""
         return now_s - self._refreshed_s <= MAX_PAUSE_S and now_s >= self._settled_s
 
+    def settles_in_s(self, now_s: float) -> float:
+        """Return after how long this entry will hold parts, as far as is known; 0 if it does."""
+        if self.is_settled(now_s):
+            return 0.0
+        left_s = self._steady_since_s + SETTLE_S - now_s
+        # An entry that hears from no other does not know when it will.
+        return left_s if 0.0 < left_s < SETTLE_S else SETTLE_S
+
     def part(self, upstream_id: str, zone: str, served_zones: Set[str], near: int, far: int) -> int:
         """Return this entry's part of the requests that an upstream gets in a second.
 
--- a/daisystack/core/placement/eligibility.py
+++ b/daisystack/core/placement/eligibility.py
@@ -146,7 +146,9 @@
             return_s = self.shares.plan_return_s(requirements.service, incarnations, now_s)
             return Refusal("the rate limits of the upstreams are used up", False, return_s)
         if any(self._is_bound_as_cold(u, now_s) for u in allowed):
-            return Refusal("cold upstreams get no more of it now", True)
+            # Callers of an entry that holds no parts yet would come back in vain before it does.
+            settles_in_s = self.cold.parts.settles_in_s(now_s)
+            return Refusal("cold upstreams get no more of it now", True, settles_in_s or None)
         end_s = self.pauses.next_end_s(incarnations, now_s)
         if end_s is None:
             return Refusal("no upstream is there for it", False)
--- a/daisystack/tests/test_cold_upstreams.py
+++ b/daisystack/tests/test_cold_upstreams.py
@@ -161,6 +161,15 @@
         self.assertTrue(refusal.is_full)
         self.assertEqual(len(send_all(placement, NOW_S + 1.0)), 5)
 
+    # After a loss of power callers came back while their entry held no part, and were lost.
+    def test_callers_of_a_new_entry_are_told_when_it_will_hold_parts(self):
+        placement = build_placement()
+        placement.update_upstream(cold_upstream(), NOW_S)
+        placement.cold.parts = ColdParts()
+        for at_s, expected_s in ((NOW_S, SETTLE_S), (NOW_S + 1.0, SETTLE_S - 1.0)):
+            refresh(placement.cold.parts, at_s)
+            self.assertAlmostEqual(placement.choose(NEEDS, at_s).retry_after_s, expected_s)
+
     # Requests whose connections open late were sent beside those that came after them.
     def test_chosen_requests_count_before_they_are_sent(self):
         placement = build_placement()
