Revert the closing of relays at the end of a test's class

The relay's acceptor is a green thread that still waited on the closed listener, and a pipe to a new process got its descriptor. The class alone had passed, which could not show this.

Change: the fixture is as before.

--- a/daisystack/tests/test_site_failures.py
+++ b/daisystack/tests/test_site_failures.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import socket
 import tempfile
 import time
 import unittest
@@ -40,7 +39,6 @@
         options = SiteOptions(layout, MEGABYTE, 50_000, 20e6, 1, load_s=0.2, **cls.options)
         cls.site = Site(options, Processes(Path(tempfile.mkdtemp(prefix="daisystack-test-"))))
         cls.addClassCleanup(cls.site.processes.kill_all)
-        cls.addClassCleanup(cls.close_relays)
         cls.site.start_platform()
         config = layout.address(CONFIG)
         cls.wait(lambda: cls.site.get(config, "/counters"))
@@ -50,16 +48,6 @@
         cls.wait(lambda: cls.site.count_serving("a") == layout.agents)
         cls.wait(lambda: all(cls.can_post(address) for address in cls.addresses))
 
-    # A listener that outlived its class held the port until the end of the whole test run, so that
-    # another run on the machine could not start its site.
-    @classmethod
-    def close_relays(cls):
-        relays = cls.site.relays.values()
-        for relay in relays:
-            relay.close()
-        for relay in relays:
-            socket.create_server((relay.listen.host, relay.listen.port)).close()
-
     @classmethod
     def wait(cls, condition):
         return cls.site.wait_for("condition", condition, TIMEOUT_S)
