--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""An entry of another writer lies in the store when all processes are killed and start again."""
+"""A machine freezes while its agent verifies what is staged; a piece that turned bad is loaded."""
 
 import json
 import signal
@@ -8,58 +8,117 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import KEY, config, main, route, runner_entry, service
+from deployment import KEY, CannotRun, call, config, main, route, runner_entry, service
 
-RECOVER_S = 12.0
-DOWN_S = 1.0
-REQUESTS = 20
-LIMIT_MS = 1500
+MODEL = "daka510000"
+WEIGHTS = {"model": MODEL, "layers": 16, "chunks": 64, "chunk_bytes": 32768}
+FREEZE_S = 3.5
+# New versions, each with a freeze; one that ends while the agent waits for an answer makes the agent
+# look at all pieces again, and does no harm.
+VERSIONS = 4
+# A piece that turned bad in the last 3 s before it was taken is excused.
+EXCUSED_S = 3.0
+# The processes of a machine that wakes run again one after the other.
+WAKE_GAP_S = 0.2
+FROZEN_AT_PIECE, ROTTEN_PIECE = 16, 3
 
 
 def run(site, trouble):
     site.start_store()
-    addresses = [site.start_runner(f"i-7f3a91c{n}", 30 + n) for n in range(3)]
-    routes = [route("post", "unsafe", "ledger", LIMIT_MS), route("read", "safe", "ledger", LIMIT_MS)]
+    origin = site.start_runner("origin", 50, kind="origin", **WEIGHTS)
+    address = site.start_runner("engine-0", 60, kind="engine", version=1, local_s=0.0,
+                                **WEIGHTS)
+    engine = {
+        "slots": 16, "kv_capacity": 1640000, "kv_token_bytes": 163840, "stride": 6,
+        "models": [{"name": MODEL, "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}], "mb": 282000.0,
+        "step_ms": 6.73, "per_seq_ms": 0.0219, "context_per_k": 0.0068, "read_per_s": 30600.0,
+        "pairs_per_m": 0.647, "chunk": 2048, "report_lag_ms": 200.0,
+        "usual": {"prompt": 964, "answer": 119}, "layers": 16, "layer_mb": 4540.0,
+        "chunks": 64, "chunk_bytes": 32768,
+    }
+    services = [
+        service("pool") | {"engine": engine},
+        {"name": "portal", "origin": origin, "zone": "z1", "link_mbps": 9.9, "max_connections": 48},
+    ]
+    routes = [route("draft", "streaming", "pool", 6000, session_affinity=True, stream_resume=True,
+                    gap_aim_ms=300)]
     tenants = [{"name": "dealers", "api_keys": [KEY], "priority": 1}]
-    site.write("op/config", config(1, routes, [service("ledger")], tenants))
-    for number, address in enumerate(addresses):
-        site.write(f"servers/i-7f3a91c{number}", runner_entry("ledger", address))
+    site.write("op/config", config(1, routes, services, tenants))
+    held = {"stage": "both", "models": [{"name": MODEL, "version": 1, "adapters": []}]}
+    held |= {"layers": [{"from": 0, "to": 16, "version": 1}]}
+    born = json.loads(call(*address.split(":"), "GET", "/daisystack/report", None, {}, 2.0)[2])["born"]
+    site.write("servers/engine-0", runner_entry("pool", address, slots=16, born=born, **held))
     site.start_entries()
+    site.start_agent(0, "engine-0", "pool")
     time.sleep(4.0)
-    before = count_served(site, "before")
-    if trouble:
-        # A number that no machine number holds; it names no runner to use.
-        entry = runner_entry("ledger", f"{site.prefix}99:8080")
-        text = json.dumps(entry | {"cold_left_ms": "NUMBER"}).replace('"NUMBER"', "9" * 400)
-        site.write("servers/a-0000", text.encode())
-        time.sleep(1.0)
-    for index in range(site.entry_count):
-        site.signal(f"entry-{index}", signal.SIGKILL)
-        site.processes[f"entry-{index}"].wait()
-    time.sleep(DOWN_S)
-    for index in range(site.entry_count):
-        site.start_program(f"entry-{index}", "entry", site.entry_host(index))
-    for index in range(site.entry_count):
-        site.wait(lambda i=index: site.is_ready(i), f"entry-{index} again")
-    site.note("all entries are back and ready")
-    time.sleep(RECOVER_S + 0.5)
-    after = count_served(site, "after")
-    site.note(f"served before: {before} of {REQUESTS}; {RECOVER_S} s after the return: {after}")
-    return before * 4 >= REQUESTS and after * 4 < REQUESTS
-
-
-def count_served(site, when):
-    served = 0
-    for number in range(REQUESTS):
-        method, name = ("POST", "post") if number % 2 else ("GET", "read")
-        request_id = f"{when}-{number}"
+
+    def draft(number):
+        headers = {"X-Model": MODEL, "X-Token-Usage": "600,18", "X-Prompt-Prefix": "5c1e07a2:600"}
         status, _, body = site.request(
-            number // 2 % 2, method, f"/{name}/{request_id}", request_id, LIMIT_MS
+            number % 2, "POST", "/draft/1", f"draft-{number}", 6000, headers=headers
         )
-        site.note(f"{request_id}: status {status}")
-        served += status == 200
-        time.sleep(0.1)
-    return served
+        site.note(f"draft-{number}: status {status}, {body[:40]}")
+
+    draft(0)
+    for version in range(2, 2 + VERSIONS):
+        site.write(f"op/version/{MODEL}", {"model": MODEL, "version": version})
+        if trouble:
+            freeze_while_verifying(site, address)
+        ends_s = time.monotonic() + 20.0
+        while not find(site, "has loaded", version) and time.monotonic() < ends_s:
+            time.sleep(0.05)
+        held["models"][0]["version"] = held["layers"][0]["version"] = version
+        entry = runner_entry("pool", address, slots=16, born=born, **held)
+        site.write("servers/engine-0", entry | {"seq": version})
+        time.sleep(0.7)
+        for number in range(4):
+            draft(10 * version + number)
+        made = find(site, "makes tokens", version)
+        if not made:
+            raise CannotRun(f"no token was made with version {version}")
+        order = find(site, "accepts an order", version)[-1]
+        long_bad = [s for s in order["bad_for_s"].values() if s > EXCUSED_S]
+        spoilt = [e["id"] for e in made if e["spoilt_pieces"]]
+        site.note(f"version {version}: made with a spoilt piece: {spoilt}; it had been bad for so "
+                  f"many seconds when it was taken: {long_bad}")
+        if spoilt and long_bad:
+            return True
+    return False
+
+
+def find(site, event, version):
+    return [e for e in site.runs() if e["event"] == event and e.get("version") == version]
+
+
+def freeze_while_verifying(site, address):
+    """Freeze the machine in the agent's last look at the pieces before the order."""
+    ends_s = time.monotonic() + 40.0
+    while True:
+        reads = reads_since_last_put(site.record_path.read_text().splitlines())
+        # The first look follows the last piece, the second one comes just before the order.
+        if reads.count(FROZEN_AT_PIECE) == 2:
+            break
+        if time.monotonic() > ends_s:
+            raise CannotRun("the agent did not verify the pieces twice")
+        time.sleep(0.002)
+    # The whole machine stands still: the agent and its engine.
+    site.signal("agent-0", signal.SIGSTOP)
+    call(*address.split(":"), "PUT", f"/rot/{ROTTEN_PIECE}", None, {}, 2.0)
+    site.signal("engine-0", signal.SIGSTOP)
+    time.sleep(FREEZE_S - WAKE_GAP_S)
+    site.signal("engine-0", signal.SIGCONT)
+    time.sleep(WAKE_GAP_S)
+    site.signal("agent-0", signal.SIGCONT)
+
+
+def reads_since_last_put(lines):
+    reads = []
+    for line in lines:
+        if '"staged"' in line:
+            reads = []
+        elif '"read"' in line:
+            reads.append(json.loads(line)["index"])
+    return reads
 
 
 main(run)
