--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,19 +21,40 @@
     site.start_store()
     origin = site.start_runner("origin", 50, kind="origin", **WEIGHTS)
     engine = {
-        "slots": 16, "kv_capacity": 1640000, "kv_token_bytes": 163840, "stride": 6,
-        "models": [{"name": MODEL, "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}], "mb": 282000.0,
-        "step_ms": 6.73, "per_seq_ms": 0.0219, "context_per_k": 0.0068, "read_per_s": 30600.0,
-        "pairs_per_m": 0.647, "chunk": 2048, "report_lag_ms": 200.0,
-        "usual": {"prompt": 964, "answer": 119}, "layers": 16, "layer_mb": 4540.0,
-        "chunks": 64, "chunk_bytes": 32768,
+        "slots": 16,
+        "kv_capacity": 1640000,
+        "kv_token_bytes": 163840,
+        "stride": 6,
+        "models": [{"name": MODEL, "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}],
+        "mb": 282000.0,
+        "step_ms": 6.73,
+        "per_seq_ms": 0.0219,
+        "context_per_k": 0.0068,
+        "read_per_s": 30600.0,
+        "pairs_per_m": 0.647,
+        "chunk": 2048,
+        "report_lag_ms": 200.0,
+        "usual": {"prompt": 964, "answer": 119},
+        "layers": 16,
+        "layer_mb": 4540.0,
+        "chunks": 64,
+        "chunk_bytes": 32768,
     }
     services = [
         service("pool") | {"engine": engine},
         {"name": "portal", "origin": origin, "zone": "z1", "link_mbps": 9.9, "max_connections": 48},
     ]
-    routes = [route("draft", "streaming", "pool", 6000, session_affinity=True, stream_resume=True,
-                    gap_aim_ms=300)]
+    routes = [
+        route(
+            "draft",
+            "streaming",
+            "pool",
+            6000,
+            session_affinity=True,
+            stream_resume=True,
+            gap_aim_ms=300,
+        )
+    ]
     tenants = [{"name": "dealers", "api_keys": [KEY], "priority": 1}]
     site.write("op/config", config(1, routes, services, tenants))
     start_engine(site, 0, version=1)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,7 +30,9 @@
             number % 2, "POST", f"/post/{number}", request_id, LIMIT_MS, body=BODY, timeout_s=5.0
         )
         whole = "".join(f"line {n} of 100 for {request_id}\n" for n in range(1, 101)).encode()
-        framing = {k: v for k, v in headers.items() if k.lower() in ("content-length", "transfer-encoding")}
+        framing = {
+            k: v for k, v in headers.items() if k.lower() in ("content-length", "transfer-encoding")
+        }
         site.note(f"{request_id}: status {status}, {framing}, {body.count(b'line')} of 100 lines")
         if status == 200 and body != whole:
             mixed.append(request_id)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -73,8 +73,10 @@
         statuses = Counter(s for at_s, k, s in results if k == kind and at_s >= steady_s)
         before = Counter(s for at_s, k, s in results if k == kind and at_s < steady_s)
         served[kind] = statuses[200] / max(1, statuses.total())
-        site.note(f"{kind}: before {dict(before)}; in steady state {dict(statuses)}, "
-                  f"{served[kind]:.2f} of them served")
+        site.note(
+            f"{kind}: before {dict(before)}; in steady state {dict(statuses)}, "
+            f"{served[kind]:.2f} of them served"
+        )
     return served["tally"] < 0.25 * served["post"]
 
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -77,7 +77,11 @@
     def spawn(self, name, command, environment):
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
-            command, cwd=REPOSITORY, env=environment, stdin=subprocess.DEVNULL, stdout=log,
+            command,
+            cwd=REPOSITORY,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
             stderr=log,
         )
         self.note(f"started {name}")
@@ -111,23 +115,46 @@
             f"{self.entry_host(i)}:{ports['control']}" for i in range(self.entry_count)
         )
         values = {
-            "node_name": name, "role": name.partition("-")[0], "machine_class": "front",
-            "ip": host, "zone": "z1", "region": "r1", "zones.z1": "r1",
-            "listen.front": f"{host}:{ports['front']}", "listen.ready": f"{host}:{ports['ready']}",
+            "node_name": name,
+            "role": name.partition("-")[0],
+            "machine_class": "front",
+            "ip": host,
+            "zone": "z1",
+            "region": "r1",
+            "zones.z1": "r1",
+            "listen.front": f"{host}:{ports['front']}",
+            "listen.ready": f"{host}:{ports['ready']}",
             "listen.control": f"{host}:{ports['control']}",
             "listen.directory": f"{host}:{ports['directory']}",
-            "port_range": f"{ports['news']},{ports['news'] + 15}", "seeds": seeds,
-            "bootstrap": "true", "limits.cpu_share": "0.537", "limits.cores": "2",
-            "limits.memory_mb": "300", "limits.max_fds": "4100", "limits.link_mbps": "1000.0",
-            "discovery": "platform", "entry": "directory", "heartbeat_ms": "1200",
-            "bounds.stable_window_ms": "3000", "bounds.drain_ms": "2000", "bounds.grace_s": "8",
-            "bounds.loss_slack_ms": "200", "bounds.config_apply_ms": "2000",
-            "bounds.revoke_strict": "true", "bounds.revoke_ms": "5000",
-            "bounds.retry_budget_ratio": "0.2", "bounds.budget_window_s": "10",
-            "bounds.budget_slack": "104", "bounds.recover_s": "12", "bounds.pass_ms": "120",
-            "bounds.version_ms": "8000", "bounds.ttl_max_s": "5",
-            "platform.address": f"{self.store_host}:{self.store_port}", "platform.form": "read",
-            "platform.reads_per_s": "2000", "platform.history_s": "20",
+            "port_range": f"{ports['news']},{ports['news'] + 15}",
+            "seeds": seeds,
+            "bootstrap": "true",
+            "limits.cpu_share": "0.537",
+            "limits.cores": "2",
+            "limits.memory_mb": "300",
+            "limits.max_fds": "4100",
+            "limits.link_mbps": "1000.0",
+            "discovery": "platform",
+            "entry": "directory",
+            "heartbeat_ms": "1200",
+            "bounds.stable_window_ms": "3000",
+            "bounds.drain_ms": "2000",
+            "bounds.grace_s": "8",
+            "bounds.loss_slack_ms": "200",
+            "bounds.config_apply_ms": "2000",
+            "bounds.revoke_strict": "true",
+            "bounds.revoke_ms": "5000",
+            "bounds.retry_budget_ratio": "0.2",
+            "bounds.budget_window_s": "10",
+            "bounds.budget_slack": "104",
+            "bounds.recover_s": "12",
+            "bounds.pass_ms": "120",
+            "bounds.version_ms": "8000",
+            "bounds.ttl_max_s": "5",
+            "platform.address": f"{self.store_host}:{self.store_port}",
+            "platform.form": "read",
+            "platform.reads_per_s": "2000",
+            "platform.history_s": "20",
         }
         return "".join(f"{k}={v}\n" for k, v in (values | dict(changes)).items())
 
@@ -146,9 +173,15 @@
     def start_agent(self, number, engine_name, service_name):
         """Start the agent beside an engine, at the engine's own loopback address."""
         host, _, _ = self.addresses[engine_name].partition(":")
-        changes = {"machine_class": "side", "serves": "side", "service": service_name,
-                   "app": self.addresses[engine_name], "limits.memory_mb": "168",
-                   "limits.max_fds": "1124", "limits.link_mbps": "3.8"}
+        changes = {
+            "machine_class": "side",
+            "serves": "side",
+            "service": service_name,
+            "app": self.addresses[engine_name],
+            "limits.memory_mb": "168",
+            "limits.max_fds": "1124",
+            "limits.link_mbps": "3.8",
+        }
         self.start_program(f"agent-{number}", "agent", host, changes)
 
     def signal(self, name, number):
@@ -189,10 +222,22 @@
 
     def is_ready(self, index):
         port = self.ports["ready"]
-        return call(self.entry_host(index), port, "GET", "/daisystack/ready", None, {}, 1.0)[0] == 200
+        return (
+            call(self.entry_host(index), port, "GET", "/daisystack/ready", None, {}, 1.0)[0] == 200
+        )
 
-    def request(self, index, method, path, request_id, limit_ms, key=KEY, timeout_s=None,
-                headers=(), body=None):
+    def request(
+        self,
+        index,
+        method,
+        path,
+        request_id,
+        limit_ms,
+        key=KEY,
+        timeout_s=None,
+        headers=(),
+        body=None,
+    ):
         """Send a consumer's request to an entry on a new channel; return status, headers, body."""
         sent = {"Host": HOST_NAME, "X-Attempt-Id": request_id, "X-Deadline-Ms": str(limit_ms)}
         if key is not None:
@@ -227,27 +272,59 @@
 
 
 def service(name):
-    return {"name": name, "health_path": "/health", "max_connections": 110, "protocol": "h1",
-            "tls": False}
+    return {
+        "name": name,
+        "health_path": "/health",
+        "max_connections": 110,
+        "protocol": "h1",
+        "tls": False,
+    }
 
 
 def route(name, kind, service_name, timeout_ms, **changes):
-    return {"name": name, "host": HOST_NAME, "prefix": f"/{name}/", "kind": kind,
-            "timeout_ms": timeout_ms, "target_latency_ms": 405, "priority": 1,
-            "service": service_name, "max_attempts": 2, "public": False} | changes
+    return {
+        "name": name,
+        "host": HOST_NAME,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 405,
+        "priority": 1,
+        "service": service_name,
+        "max_attempts": 2,
+        "public": False,
+    } | changes
 
 
 def config(version, routes, services, tenants):
-    limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
-              "idle_timeout_ms": 15000}
-    return {"version": version, "routes": routes, "services": services, "limits": limits,
-            "tenants": tenants}
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+        "tenants": tenants,
+    }
 
 
 def runner_entry(service_name, address, **changes):
     born = int(time.time() * 1000)
-    return {"service": service_name, "address": address, "zone": "z1", "version": "v1",
-            "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": born} | changes
+    return {
+        "service": service_name,
+        "address": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": born,
+    } | changes
 
 
 def main(run, entries=2):
