--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,6 +62,8 @@
     site.start_agent(0, "engine-0", "pool")
     time.sleep(4.0)
     before = count_served(site, "before")
+    # The final fault strikes right after a configuration has been acknowledged.
+    site.write("op/config", config(4, routes, services, tenants))
     names = [f"entry-{i}" for i in range(site.entry_count)] + ["agent-0", "engine-0"]
     for name in names:
         site.signal(name, signal.SIGKILL)
@@ -84,6 +86,7 @@
         time.sleep(0.2)
     after = count_served(site, "after", lambda: publish_loaded(site, 1))
     site.note(f"served before: {before} of {REQUESTS}; {RECOVER_S} s after the return: {after}")
+    site.note(f"ready: {[site.is_ready(i) for i in range(site.entry_count)]}")
     return before * 4 >= REQUESTS and after * 4 < REQUESTS
 
 
