--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 
 from deployment import KEY, config, main, route, runner_entry, service
 
-RUNNERS, CRASHES = 6, 6
+RUNNERS, CRASHES = 6, 10
 DOWN_S, LIST_LAG_S, BETWEEN_S = 4.5, 3.6, 5.5
 SETTLED_S, STEADY_S = 6.0, 15.0
 TIMEOUT_MS = 1500
@@ -54,13 +54,14 @@
     for arguments in (("tally", READ_EVERY_S), ("post", POST_EVERY_S)):
         threading.Thread(target=generate, args=arguments, daemon=True).start()
     time.sleep(4.0)
-    for number in range(CRASHES):
+    for crash in range(CRASHES):
         if trouble:
-            site.signal(f"runner-{number}-1", signal.SIGKILL)
+            number, life = crash % RUNNERS, crash // RUNNERS + 1
+            site.signal(f"runner-{number}-{life}", signal.SIGKILL)
             time.sleep(LIST_LAG_S)
-            site.delete(f"servers/runner-{number}-1")
+            site.delete(f"servers/runner-{number}-{life}")
             time.sleep(DOWN_S - LIST_LAG_S)
-            start_runner(site, number, 2)
+            start_runner(site, number, life + 1)
         time.sleep(BETWEEN_S - (DOWN_S if trouble else 0.0))
     time.sleep(SETTLED_S)
     steady_s = time.monotonic()
