--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -291,6 +291,8 @@
     record = open(options["record"], "a", buffering=1)
     # Indexes of the digests that the next answer with digests spoils.
     to_spoil = []
+    # Until when calls are answered by interim heads without end.
+    endless_until_s = [0.0]
 
     class OriginHandler(Handler):
         def note(self, event):
@@ -298,11 +300,31 @@
             record.write(json.dumps(line) + "\n")
 
         def do_PUT(self):
-            # Not of the protocol: the script spoils the next answer with digests.
-            to_spoil.append(int(self.path.rpartition("/")[2]))
+            # Not of the protocol: the script spoils the next answer with digests, or all for a time.
+            number = int(self.path.rpartition("/")[2])
+            if self.path.startswith("/endless/"):
+                endless_until_s[0] = time.monotonic() + number
+            else:
+                to_spoil.append(number)
             self.answer(200, b"")
 
+        def send_endless(self):
+            """Send heads that are no answer until the caller closes."""
+            self.note(f"begins an answer without end to {self.path}")
+            sent = 0
+            self.close_connection = True
+            try:
+                while True:
+                    self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    sent += 1
+                    time.sleep(0.05)
+            except OSError:
+                self.note(f"the caller of {self.path} closed after {sent} heads")
+
         def do_GET(self):
+            if time.monotonic() < endless_until_s[0]:
+                self.send_endless()
+                return
             parts = urlsplit(self.path)
             query = dict(parse_qsl(parts.query))
             version = int(query["version"])
