Limit whole calls to the platform, so that no answer without end keeps the weights away

Cause: HttpEndpoint.call limited each read and the bytes of the body, but not the whole call; http.client reads any number of interim heads. Ruled out: a back-off or a missing fetcher (no weight_source_failed in the log, one call an entry).

Change: a limit for the whole call and for interim heads.

--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import http.client
 import json
+import socket
 
+import eventlet
 import eventlet.patcher
 import urllib3
 import urllib3.connection
 from attrs import define, field, frozen
 
 from daisystack.backends.base import BackendError
+from daisystack.runtime.turns import YieldingSocket
 
 __all__ = ["HttpResponse", "HttpEndpoint"]
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 5.0
+# A response whose bytes keep arriving gets this much longer than the wait for its first byte.
+TRANSFER_TIMEOUT_S = 5.0
+# A server that goes on sending them never answers.
+MAX_INTERIM_RESPONSES = 8
 MAX_CONNECTIONS = 4
 READ_BLOCK_BYTES = 1024 * 1024
 MAX_RESPONSE_BYTES = 20 * 1024 * 1024
@@ -32,7 +40,34 @@
     body: bytes
 
 
+class _Response(http.client.HTTPResponse):
+    """Response whose interim responses are bounded; http.client reads any number of them."""
+
+    interim_count = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        version, status, reason = super()._read_status()
+        if status == http.client.CONTINUE:
+            self.interim_count += 1
+            if self.interim_count > MAX_INTERIM_RESPONSES:
+                raise http.client.BadStatusLine(f"over {MAX_INTERIM_RESPONSES} interim responses")
+        return version, status, reason
+
+
 class _Connection(urllib3.connection.HTTPConnection):
+    response_class = _Response
+
+    def _new_conn(self) -> socket.socket:
+        sock = YieldingSocket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(self.timeout)
+        try:
+            sock.connect((self.host, self.port))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
     @property
     def is_connected(self) -> bool:
         """Whether the connection is open and idle, without an answer that nobody requested."""
@@ -66,30 +101,53 @@
         read_timeout_s: float = READ_TIMEOUT_S,
         max_bytes: int = MAX_RESPONSE_BYTES,
         headers: dict[str, str] | None = None,
+        call_timeout_s: float | None = None,
     ) -> HttpResponse:
-        """Return a complete response; raise BackendError on any failure or if it is too large."""
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s)
+        """Return a complete response; raise BackendError on any failure or if it is too large.
+
+        read_timeout_s limits each wait for bytes, call_timeout_s the whole call.
+        """
+        if call_timeout_s is None:
+            call_timeout_s = read_timeout_s + TRANSFER_TIMEOUT_S
+        name = f"{method} {self.address}{path}"
+        limit = eventlet.Timeout(call_timeout_s)
         try:
-            response = self._pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=headers,
-                retries=False,
-                redirect=False,
-                assert_same_host=False,
-                timeout=timeout,
-                preload_content=False,
-            )
+            response = self._open(method, path, body, headers, read_timeout_s)
             content = _read_body(response, max_bytes)
+        except eventlet.Timeout as timeout:
+            if timeout is not limit:
+                raise
+            raise BackendError(f"{name}: not complete after {call_timeout_s} s") from None
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise BackendError(f"{method} {self.address}{path}: {error}") from error
+            raise BackendError(f"{name}: {error}") from error
+        finally:
+            limit.cancel()
         if content is None:
             response.close()
-            raise BackendError(f"{method} {self.address}{path}: over {max_bytes} bytes")
+            raise BackendError(f"{name}: over {max_bytes} bytes")
         response.release_conn()
         return HttpResponse(response.status, response.headers, content)
 
+    def _open(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+        read_timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse:
+        return self._pool.urlopen(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            assert_same_host=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+            preload_content=False,
+        )
+
     def read_json(self, response: HttpResponse) -> dict:
         """Return a response's JSON object; raise BackendError if it is none."""
         if response.status != 200:
@@ -112,8 +170,12 @@
     if not chunked and not response.headers.get("Content-Length", "").isdigit():
         raise urllib3.exceptions.ProtocolError("answer has no length and no chunks")
     body = bytearray()
-    while block := response.read(READ_BLOCK_BYTES):
-        body += block
-        if len(body) > max_bytes:
-            return None
+    try:
+        while block := response.read(READ_BLOCK_BYTES):
+            body += block
+            if len(body) > max_bytes:
+                return None
+    except eventlet.Timeout:
+        response.close()
+        raise
     return bytes(body)
--- a/daisystack/backends/weight_source.py
+++ b/daisystack/backends/weight_source.py
@@ -10,6 +10,8 @@
 __all__ = ["HttpWeightSource"]
 
 CHUNK_TIMEOUT_S = 20.0
+# A chunk of several megabytes on a link of 1 Mbit/s.
+CHUNK_CALL_TIMEOUT_S = 60.0
 DEFAULT_RETRY_AFTER_S = 1.0
 
 
@@ -28,7 +30,9 @@
         return self._get(f"/v1/chunks/{digest}")
 
     def _get(self, path: str) -> bytes:
-        response = self.endpoint.call("GET", path, read_timeout_s=CHUNK_TIMEOUT_S)
+        response = self.endpoint.call(
+            "GET", path, read_timeout_s=CHUNK_TIMEOUT_S, call_timeout_s=CHUNK_CALL_TIMEOUT_S
+        )
         if response.status == 429:
             raise RateLimited(_retry_after_s(response.headers.get("Retry-After", "")))
         if response.status != 200:
--- a/daisystack/testing/scripted.py
+++ b/daisystack/testing/scripted.py
@@ -5,17 +5,21 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterator
 
 import eventlet
 from attrs import define, field
 
 __all__ = [
+    "EndlessAnswer",
     "ScriptedServer",
+    "StallProbe",
     "build_answer",
     "send_and_close",
     "answer_with_ticket",
     "free_address",
+    "measure_stalls",
     "read_request",
     "reset",
     "stall",
@@ -25,6 +29,7 @@
 Script = Callable[[socket.socket], None]
 STALL_S = 60.0
 READ_BYTES = 65_536
+PROBE_INTERVAL_S = 0.005
 
 
 def free_address() -> str:
@@ -104,6 +109,57 @@
     return script
 
 
+@define(eq=False)
+class EndlessAnswer:
+    """Script that sends a head and then the same block until the peer closes."""
+
+    head: bytes
+    block: bytes
+    interval_s: float = 0.0
+    sent_bytes: int = 0
+    is_closed: bool = False
+
+    def __call__(self, sock: socket.socket) -> None:
+        """Answer one request."""
+        read_request(sock)
+        sock.sendall(self.head)
+        try:
+            while True:
+                sock.sendall(self.block)
+                self.sent_bytes += len(self.block)
+                eventlet.sleep(self.interval_s)
+        finally:
+            self.is_closed = True
+
+
+@define
+class StallProbe:
+    """Longest time for which a green thread that was due did not run."""
+
+    longest_s: float = 0.0
+
+
+@contextlib.contextmanager
+def measure_stalls() -> Iterator[StallProbe]:
+    """Measure how long other green threads are held up while the block runs."""
+    probe = StallProbe()
+
+    def watch() -> None:
+        while True:
+            began_s = time.monotonic()
+            eventlet.sleep(PROBE_INTERVAL_S)
+            held_s = time.monotonic() - began_s - PROBE_INTERVAL_S
+            probe.longest_s = max(probe.longest_s, held_s)
+
+    watcher = eventlet.spawn(watch)
+    eventlet.sleep(0)
+    try:
+        yield probe
+        eventlet.sleep(0)
+    finally:
+        watcher.kill()
+
+
 @define(eq=False)
 class ScriptedServer:
     """TCP server that runs one script per connection and repeats the last one."""
--- a/daisystack/tests/test_endless_answers.py
+++ b/daisystack/tests/test_endless_answers.py
@@ -18,7 +18,7 @@
     build_route,
     build_upstream,
 )
-from daisystack.testing.scripted import ScriptedServer, read_request
+from daisystack.testing.scripted import EndlessAnswer, ScriptedServer, read_request
 
 BLOCK_BYTES = 16_384
 # Far more than any answer of an upstream, and far less than the memory of an entry.
@@ -45,25 +45,6 @@
 }
 
 
-class EndlessAnswer:
-    """Send a head and then the same block until the peer closes; count the bytes it took."""
-
-    def __init__(self, head, block):
-        self.head, self.block = head, block
-        self.sent_bytes = 0
-        self.is_closed = False
-
-    def __call__(self, sock):
-        read_request(sock)
-        sock.sendall(self.head)
-        try:
-            while True:
-                sock.sendall(self.block)
-                self.sent_bytes += len(self.block)
-        finally:
-            self.is_closed = True
-
-
 def serve_one(script, kind=RequestKind.UNSAFE):
     server = ScriptedServer([script])
     policy = build_policy(build_route(kind, timeout_s=TIMEOUT_S))
