Limit whole calls between peers

Seen: nothing yet.

Change: a call may take 5 s beyond its limit for each wait. That is above any copy seen on a narrow link (CopySlow) and ends what never ends.

Evidence: the new test in test_silence reached its outer limit of 2 s before and passes now; test_silence, test_mesh_copies, test_config_spread: 10 passed.

--- a/daisystack/runtime/peer_link.py
+++ b/daisystack/runtime/peer_link.py
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # A disconnected machine must not delay news and pieces that other peers can send.
 MESH_CONNECT_TIMEOUT_S = 0.5
+# An answer whose bytes keep arriving gets this much longer than each wait for bytes.
+TRANSFER_TIMEOUT_S = 5.0
 MS_PER_S = 1000
 
 _logger = logging.getLogger("daisystack.peers")
@@ -33,7 +35,10 @@
 
 @define
 class PeerLink:
-    """Connection to one peer, for use by one task at a time."""
+    """Connection to one peer, for use by one task at a time.
+
+    timeout_s limits each wait for bytes; a whole call may take TRANSFER_TIMEOUT_S longer.
+    """
 
     address: str
     timeout_s: float = 2.0
@@ -43,6 +48,7 @@
 
     def call(self, method: str, *arguments):
         """Call a method of the peer; raise PeerError on any failure or timeout."""
+        limit = eventlet.Timeout(self.timeout_s + TRANSFER_TIMEOUT_S)
         try:
             if self._client is None:
                 self._connect()
@@ -50,10 +56,14 @@
         except (TException, OSError, ValueError, EOFError) as error:
             self.close()
             raise PeerError(f"{method} at {self.address}: {error}") from error
-        except BaseException:
+        except BaseException as error:
             # The next call must not read the rest of an unfinished answer.
             self.close()
+            if error is limit:
+                raise PeerError(f"{method} at {self.address}: not complete in time") from None
             raise
+        finally:
+            limit.cancel()
 
     def close(self) -> None:
         """Close the connection."""
--- a/daisystack/tests/test_silence.py
+++ b/daisystack/tests/test_silence.py
@@ -1,14 +1,16 @@
-"""Test that a wait on a stalled connection ends with the outcome known to the ticket's owner."""
+"""Test that a wait on a stalled connection ends, with the outcome known to the ticket's owner."""
 
+import time
 import unittest
+from unittest import mock
 
 import eventlet
 
 from daisystack.core.addresses import parse_address
 from daisystack.core.tickets import Ticket
 from daisystack.core.verdicts import AttemptEnd
-from daisystack.runtime import stall_detector
-from daisystack.runtime.peer_link import serve_peers
+from daisystack.runtime import peer_link, stall_detector
+from daisystack.runtime.peer_link import PeerError, PeerLink, serve_peers
 from daisystack.runtime.stall_detector import StallDetector
 from daisystack.runtime.upstream_http import AttemptFailed, UpstreamClient
 from daisystack.testing.scripted import ScriptedServer, free_address, stall
@@ -73,3 +75,21 @@
             pass
         eventlet.sleep(0.15)
         self.assertEqual(owner.seal_calls, 0)
+
+
+class TestPeerLink(unittest.TestCase):
+    # A call limited by each read only would keep its peer among those being asked for good.
+    @mock.patch.object(peer_link, "TRANSFER_TIMEOUT_S", 0.2)
+    def test_a_call_ends_in_time_while_bytes_of_its_answer_keep_arriving(self):
+        def trickle(sock):
+            sock.sendall((1_000_000).to_bytes(4, "big"))
+            while True:
+                sock.sendall(b"x")
+                eventlet.sleep(0.02)
+
+        server = ScriptedServer([trickle])
+        self.addCleanup(server.close)
+        started_s = time.monotonic()
+        with eventlet.Timeout(2.0), self.assertRaises(PeerError):
+            PeerLink(server.address, timeout_s=0.2).call("seal", ttypes.SealAsk("t"))
+        self.assertLess(time.monotonic() - started_s, 0.6)
