--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import socket
 
@@ -23,6 +22,7 @@
 TRANSFER_TIMEOUT_S = 5.0
 # A server that goes on sending them never answers.
 MAX_INTERIM_RESPONSES = 8
+CONTINUE = 100
 MAX_CONNECTIONS = 4
 READ_BLOCK_BYTES = 1024 * 1024
 MAX_RESPONSE_BYTES = 20 * 1024 * 1024
@@ -40,17 +40,19 @@
     body: bytes
 
 
-class _Response(http.client.HTTPResponse):
-    """Response whose interim responses are bounded; http.client reads any number of them."""
+class _Response(urllib3.connection.HTTPConnection.response_class):
+    """Response whose interim responses are bounded; its base class reads any number of them."""
 
     interim_count = 0
 
     def _read_status(self) -> tuple[str, int, str]:
         version, status, reason = super()._read_status()
-        if status == http.client.CONTINUE:
+        if status == CONTINUE:
             self.interim_count += 1
             if self.interim_count > MAX_INTERIM_RESPONSES:
-                raise http.client.BadStatusLine(f"over {MAX_INTERIM_RESPONSES} interim responses")
+                raise urllib3.exceptions.ProtocolError(
+                    f"over {MAX_INTERIM_RESPONSES} interim responses"
+                )
         return version, status, reason
 
 
