Replace a wrong list of digests in every process that holds it

Cause: the digests are the only check of the pieces, so nothing checked the list. The entry that found the mismatch dropped it and got it again from the entry that had read it, which never pulls that piece. Its agents kept it as well. Ruled out: that the entries mend it and only the agents keep it (they do keep it, shown by a single entry; both are mended).

Change: a list of the origin counts once two reads agree. A list that pieces don't match is checked at its source, and the fingerprint of the rejected list is told to peers, which check theirs (a new argument of digests, ignored by earlier releases). It stays in use until a different one is found. Agents compare their list while no piece comes. A piece that was wrong twice is asked for again after 1 s in place of at once. The lists move to piece_lists.py.

--- a/daisystack/core/weight_pieces.py
+++ b/daisystack/core/weight_pieces.py
@@ -13,6 +13,7 @@
 __all__ = [
     "EngineState",
     "HolderPlan",
+    "ListReads",
     "MAX_ORIGIN_CONNECTIONS",
     "PieceCache",
     "PieceList",
@@ -23,6 +24,8 @@
 # Connections that one gateway opens to the origin: one for lists, the others for pieces.
 MAX_ORIGIN_CONNECTIONS = 4
 
+FINGERPRINT_DIGITS = 16
+
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 
 
@@ -39,6 +42,25 @@
         if malformed or not self.digests:
             raise ValueError(f"got digests {malformed[:3]}, allowed are 64 lower-case hex digits")
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what tells lists of one version apart."""
+        return digest_bytes("".join(self.digests).encode())[:FINGERPRINT_DIGITS]
+
+
+@define
+class ListReads:
+    """Reads of one list from a source that may corrupt any of them."""
+
+    _seen: set[PieceList] = field(factory=set)
+
+    def agree_on(self, pieces: PieceList) -> bool:
+        """Add a read and return whether an earlier one was equal."""
+        if pieces in self._seen:
+            return True
+        self._seen.add(pieces)
+        return False
+
 
 def piece_matches(pieces: PieceList, index: int, body: bytes | None) -> bool:
     """Return whether bytes match the digest of the piece at an index; None matches no piece."""
@@ -131,10 +153,6 @@
         listed = {digest for known in self.lists.values() for digest in known.digests}
         self._bodies = {d: body for d, body in self._bodies.items() if d in listed}
 
-    def drop_list(self, model: str, version: int) -> None:
-        """Remove a list whose digests the pieces don't match."""
-        self.lists.pop((model, version), None)
-
     def get(self, digest: str) -> bytes | None:
         """Return the bytes of a piece, or None when it is not held."""
         return self._bodies.get(digest)
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -127,6 +127,25 @@
     error: str
 
 
+@frozen(eq=False, repr=False)
+class ListReadsDiffer:
+    """No two reads of a version's list of pieces were equal, so none is used."""
+
+    model: str
+    version: int
+    reads: int
+
+
+@frozen(eq=False, repr=False)
+class PieceListReplaced:
+    """A list whose pieces did not match was replaced by the one that its source has now."""
+
+    model: str
+    version: int
+    fingerprint: str
+    new_fingerprint: str
+
+
 @frozen(eq=False, repr=False)
 class WeightSourceFailed:
     """The store or the origin did not return the requested data."""
--- a/daisystack/runtime/mesh_handler.py
+++ b/daisystack/runtime/mesh_handler.py
@@ -49,9 +49,15 @@
                 return mesh.delta_to_wire(delta, bool(accepts_packed))
         return ttypes.MirrorDelta(0, mesh.MAX_AGE_MS, False, [], 0)
 
-    def digests(self, model: str, version: int, wait_ms: int) -> list[str]:
-        """Return the digests of the pieces of a version; wait for them at most MAX_WAIT_S."""
-        return self.pieces.digests(model, version, min(MAX_WAIT_S, wait_ms / MS_PER_S))
+    def digests(
+        self, model: str, version: int, wait_ms: int, rejected: str | None = None
+    ) -> list[str]:
+        """Return the digests of the pieces of a version; wait for them at most MAX_WAIT_S.
+
+        rejected is the fingerprint of a list that the caller has found to be wrong.
+        """
+        wait_s = min(MAX_WAIT_S, wait_ms / MS_PER_S)
+        return self.pieces.digests(model, version, wait_s, rejected)
 
     def piece(self, ask: ttypes.PieceAsk) -> ttypes.Piece:
         """Return a range of a piece; wait for it as long as requested, at most MAX_WAIT_S."""
--- a/daisystack/runtime/piece_source.py
+++ b/daisystack/runtime/piece_source.py
@@ -37,23 +37,26 @@
     open_link: Callable[[str, float], PeerLink] = mesh_link
     _poll_count: int = 0
 
-    def find_list(self, target: WeightTarget) -> PieceList | None:
+    def find_list(self, target: WeightTarget, rejected: str = "") -> PieceList | None:
         """Return the pieces of a version from an entry that knows them, else None.
 
+        rejected is the fingerprint of a list that pieces did not match, which is told to the entry.
+
         The agents of a zone query the same entry, so that the others need not fetch the list, and
         another one only if that one does not answer in time.
         """
         first = self.holder(FIRST_PIECE)
         if first is None:
             return None
-        pieces = self._request_list(first, target, LIST_WAIT_S)
+        pieces = self._request_list(first, target, LIST_WAIT_S, rejected)
         if pieces is not None:
             return pieces
         others = [member for member in self._nearby() if member.id != first.id]
         self._poll_count += 1
         if not others:
             return None
-        return self._request_list(others[self._poll_count % len(others)], target)
+        source = others[self._poll_count % len(others)]
+        return self._request_list(source, target, rejected=rejected)
 
     def poll_list(self, target: WeightTarget) -> PieceList | None:
         """Return a version's pieces if the next entry knows them and the first is available.
@@ -94,11 +97,12 @@
         return [member for member in entries if member.zone == self.zone] or entries
 
     def _request_list(
-        self, member: Member, target: WeightTarget, wait_s: float = 0.0
+        self, member: Member, target: WeightTarget, wait_s: float = 0.0, rejected: str = ""
     ) -> PieceList | None:
         link = self.open_link(member.peer_address, PEER_TIMEOUT_S)
         try:
-            digests = link.call("digests", target.model, target.version, int(wait_s * MS_PER_S))
+            wait_ms = int(wait_s * MS_PER_S)
+            digests = link.call("digests", target.model, target.version, wait_ms, rejected)
             return PieceList(target.model, target.version, tuple(digests)) if digests else None
         except (PeerError, ValueError) as error:
             log_event(_logger, WeightSourceFailed(member.id, str(error)))
--- a/daisystack/runtime/piece_task.py
+++ b/daisystack/runtime/piece_task.py
@@ -24,6 +24,7 @@
 from daisystack.runtime.events import ChunkRejected, WeightsHeld, WeightSourceFailed
 from daisystack.runtime.logs import log_event
 from daisystack.runtime.peer_link import PeerError, PeerLink, mesh_link
+from daisystack.runtime.piece_lists import RECHECK_INTERVAL_S, PieceListTask
 from daisystack.wire.gen import ttypes
 
 __all__ = ["PieceTask", "has_piece", "pull_piece", "pull_piece_in_slices"]
@@ -68,17 +69,28 @@
     origin_connections: Callable[[], int] = lambda: 0
     open_link: Callable[[str, float], PeerLink] = mesh_link
     cache: PieceCache = field(factory=PieceCache)
+    lists: PieceListTask = field(init=False)
     origin_bytes: int = 0
     origin_calls: int = 0
     peer_bytes: int = 0
     agent_bytes: int = 0
     _origin_backoff: SourceBackoff = field(factory=SourceBackoff)
     _pulling: set[tuple[str, int, int]] = field(factory=set)
-    _fetching_lists: set[tuple[str, int]] = field(factory=set)
     _agent_slots: Semaphore = field(factory=lambda: Semaphore(MAX_AGENT_PULLS))
     _peer_slots: Semaphore = field(factory=lambda: Semaphore(MAX_PEER_PULLS))
     _origin_slots: Semaphore = field(factory=lambda: Semaphore(MAX_ORIGIN_PULLS))
 
+    def __attrs_post_init__(self) -> None:
+        self.lists = PieceListTask(
+            self.own_member,
+            self._build_plan,
+            self._find_member,
+            self.find_origin,
+            self.targets,
+            lambda address, timeout_s: self.open_link(address, timeout_s),
+            self.cache,
+        )
+
     def start_share_pull(self, target: WeightTarget) -> None:
         """Start to pull this entry's share of a new version before agents request it.
 
@@ -89,11 +101,17 @@
             return
         eventlet.spawn(self._pull_share, target)
 
-    def digests(self, model: str, version: int, wait_s: float) -> list[str]:
-        """Return the digests of a version, fetching them for up to wait_s; else return []."""
+    def digests(
+        self, model: str, version: int, wait_s: float, rejected: str | None = None
+    ) -> list[str]:
+        """Return the digests of a version, fetching them for up to wait_s; else return [].
+
+        rejected is the fingerprint of a list that the caller has found to be wrong.
+        """
+        self.lists.check_rejected(model, version, rejected)
         deadline_s = now_s() + wait_s
-        while (pieces := self.cache.lists.get((model, version))) is None:
-            self._start_list_fetch(model, version)
+        while (pieces := self.lists.get(model, version)) is None:
+            self.lists.start_fetch(model, version)
             if now_s() >= deadline_s:
                 return []
             eventlet.sleep(POLL_INTERVAL_S)
@@ -103,9 +121,9 @@
         """Return a piece, waiting up to wait_s for it; None if it did not arrive."""
         deadline_s = now_s() + wait_s
         while True:
-            pieces = self.cache.lists.get((model, version))
+            pieces = self.lists.get(model, version)
             if pieces is None:
-                self._start_list_fetch(model, version)
+                self.lists.start_fetch(model, version)
             elif not 0 <= index < len(pieces.digests):
                 return None
             else:
@@ -119,88 +137,30 @@
 
     def _pull_share(self, target: WeightTarget) -> None:
         started_s = now_s()
-        pieces = self._fetch_list(target.model, target.version)
-        if pieces is None:
-            return
-        own = self.own_member()
-        own_indexes = self._build_plan().pieces_held_by(own.id, own.zone, len(pieces.digests))
-        # A pull ends without its piece while the origin is down, and is started again here.
-        while missing := self._find_missing(pieces, own_indexes):
+        pieces = None
+        # A pull ends without its piece while the origin is down, and is started again here. The
+        # list may be replaced meanwhile.
+        while (listed := self.lists.fetch(target.model, target.version)) is not None:
+            if listed is not pieces:
+                pieces, own_indexes = listed, self._own_indexes(listed)
+            missing = self._find_missing(pieces, own_indexes)
+            if not missing:
+                took_s = now_s() - started_s
+                held = WeightsHeld(target.model, target.version, len(own_indexes), took_s)
+                log_event(_logger, held)
+                return
             if self.targets.version(target.model) != target.version:
                 return
             for index in missing:
                 self._start_pull(pieces, index)
             eventlet.sleep(POLL_INTERVAL_S)
-        took_s = now_s() - started_s
-        log_event(_logger, WeightsHeld(target.model, target.version, len(own_indexes), took_s))
 
-    def _find_missing(self, pieces: PieceList, indexes: list[int]) -> list[int]:
-        return [index for index in indexes if self.cache.get(pieces.digests[index]) is None]
-
-    def _start_list_fetch(self, model: str, version: int) -> None:
-        if (model, version) not in self._fetching_lists:
-            eventlet.spawn(self._fetch_list, model, version)
-
-    def _fetch_list(self, model: str, version: int) -> PieceList | None:
-        key = (model, version)
-        self._fetching_lists.add(key)
-        try:
-            while key not in self.cache.lists:
-                pieces = self._read_peer_list(model, version) or self._read_origin_list(*key)
-                if pieces is not None:
-                    self.cache.add_list(pieces)
-                elif version < self.targets.version(model):
-                    return None
-                else:
-                    eventlet.sleep(RETRY_S)
-            return self.cache.lists[key]
-        finally:
-            self._fetching_lists.discard(key)
-
-    def _read_peer_list(self, model: str, version: int) -> PieceList | None:
-        for source in self._list_sources():
-            link = self.open_link(source.peer_address, PEER_TIMEOUT_S)
-            try:
-                digests = link.call("digests", model, version, _wait_ms(PEER_WAIT_S))
-                if digests:
-                    return PieceList(model, version, tuple(digests))
-            except (PeerError, ValueError) as error:
-                log_event(_logger, WeightSourceFailed(source.id, str(error)))
-            finally:
-                link.close()
-        return None
-
-    def _list_sources(self) -> list[Member]:
-        """Return the entries to query for a list, so that one a zone queries another zone.
-
-        The entry that holds the zone's first piece queries the fetcher, all others query it.
-        """
-        plan, own = self._build_plan(), self.own_member()
-        holder, fetcher = plan.holder(own.zone, 0), plan.fetcher(0)
-        gateways = plan.gateways(own.zone)
-        if own.id == fetcher:
-            return []
-        if own.id in gateways:
-            ids = [fetcher]
-        else:
-            ids = [fetcher if own.id == holder else holder, gateways[0]]
-        found = (self._find_member(member_id) for member_id in dict.fromkeys(ids))
-        return [member for member in found if member is not None]
-
-    def _may_use_origin(self) -> bool:
+    def _own_indexes(self, pieces: PieceList) -> list[int]:
         own = self.own_member()
-        return own.id in self._build_plan().gateways(own.zone)
+        return self._build_plan().pieces_held_by(own.id, own.zone, len(pieces.digests))
 
-    def _read_origin_list(self, model: str, version: int) -> PieceList | None:
-        origin_and_zone = self.find_origin()
-        if origin_and_zone is None or not self._may_use_origin():
-            return None
-        self.origin_calls += 1
-        try:
-            return origin_and_zone[0].piece_list(model, version)
-        except BackendError as error:
-            log_event(_logger, WeightSourceFailed("origin", str(error)))
-            return None
+    def _find_missing(self, pieces: PieceList, indexes: list[int]) -> list[int]:
+        return [index for index in indexes if self.cache.get(pieces.digests[index]) is None]
 
     def _start_pull(self, pieces: PieceList, index: int) -> None:
         key = (pieces.model, pieces.version, index)
@@ -220,7 +180,7 @@
                 with self._peer_slots:
                     if self._pull_from_peer(pieces, index, source):
                         return
-            if not self._may_use_origin():
+            if not self.lists.may_use_origin:
                 self._pull_from_gateway(pieces, index)
                 return
             rejected = 0
@@ -233,10 +193,17 @@
                 rejected += 1
                 log_event(_logger, ChunkRejected("origin", f"piece {index}: digest does not match"))
             # The list itself may be corrupt.
-            self.cache.drop_list(pieces.model, pieces.version)
+            self.lists.start_check(pieces)
+            self._wait_for_other_list(pieces)
         finally:
             self._pulling.discard((pieces.model, pieces.version, index))
 
+    def _wait_for_other_list(self, pieces: PieceList) -> None:
+        """Wait until a list is replaced, for as long as it is not checked again anyway."""
+        until_s = now_s() + RECHECK_INTERVAL_S
+        while now_s() < until_s and self.lists.get(pieces.model, pieces.version) is pieces:
+            eventlet.sleep(POLL_INTERVAL_S)
+
     def _pull_from_agent(self, pieces: PieceList, index: int) -> bool:
         """Pull a piece from a nearby agent whose engine serves the version."""
         agents = self.serving_agents(pieces.version)
@@ -270,6 +237,8 @@
         self.peer_bytes += len(body or b"")
         if body is not None and not self.cache.put(pieces, index, body):
             log_event(_logger, ChunkRejected(source.id, f"piece {index}: digest does not match"))
+            # The other entry has verified it with its own list.
+            self.lists.start_check(pieces)
             return False
         return body is not None
 
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -57,6 +57,8 @@
 CONCURRENT_PULLS = 2
 # Pieces waited for at the same time, so that one that no entry holds delays no other.
 CONCURRENT_WAITS = 8
+# While no piece arrives, the list is compared with that of the entries this often.
+LIST_CHECK_INTERVAL_S = 1.0
 # An estimate from fewer pieces is too inaccurate.
 MIN_PIECES_TO_ESTIMATE = 8
 # Longest wait for a piece; another version may become wanted meanwhile. A piece takes about
@@ -79,6 +81,10 @@
     total: int
     last_piece_s: float
     done: int = 0
+    # When the list was last compared with that of the entries.
+    list_checked_s: float = float("-inf")
+    # A piece that an entry had verified did not match the list.
+    has_mismatch: bool = False
     # Another version became wanted; pulls that wait for their turn end without a piece.
     is_abandoned: bool = False
 
@@ -346,10 +352,24 @@
                 if not self._pull_piece(pieces, index, links):
                     queue.put(index)
                     eventlet.sleep(RETRY_S)
+                    if self._is_list_replaced(pieces):
+                        break
             progress.is_abandoned = True
         except Empty:
             return
 
+    def _is_list_replaced(self, pieces: PieceList) -> bool:
+        """Return whether the entries have another list, asking them if no piece arrives."""
+        progress, at_s = self._progress, now_s()
+        checked_s = max(progress.last_piece_s, progress.list_checked_s)
+        if at_s - checked_s < LIST_CHECK_INTERVAL_S:
+            return False
+        progress.list_checked_s = at_s
+        rejected = pieces.fingerprint if progress.has_mismatch else ""
+        target = WeightTarget(pieces.model, pieces.version)
+        current = self.piece_source.find_list(target, rejected)
+        return current is not None and current != pieces
+
     def _is_wanted(self, pieces: PieceList) -> bool:
         """Return whether no newer version is available and this one stays usable for a while."""
         usable = self._usable_versions(pieces.model)
@@ -373,6 +393,7 @@
         return 1.0 if is_staged else 0.0
 
     def _pull_piece(self, pieces: PieceList, index: int, links: LinkPool) -> bool:
+        progress = self._progress
         member = self.piece_source.holder(index)
         if member is None:
             return False
@@ -391,15 +412,15 @@
             return False
         if not piece_matches(pieces, index, body):
             log_event(_logger, ChunkRejected(member.id, f"piece {index}: digest does not match"))
+            progress.has_mismatch = True
             return False
         try:
             self.engine.stage(pieces.model, index, body)
         except BackendError as error:
             log_event(_logger, WeightSourceFailed("engine", str(error)))
             return False
-        if self._progress is not None:
-            self._progress.done += 1
-            self._progress.last_piece_s = now_s()
+        progress.done += 1
+        progress.last_piece_s = now_s()
         return True
 
     @property
@@ -472,7 +493,9 @@
 
     agent: WeightAgent
 
-    def digests(self, model: str, version: int, wait_s: float) -> list[str]:
+    def digests(
+        self, model: str, version: int, wait_s: float, rejected: str | None = None
+    ) -> list[str]:
         """Return no digests, as entries know them."""
         return []
 
--- a/daisystack/testing/rollout_fleet.py
+++ b/daisystack/testing/rollout_fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import eventlet
-from attrs import define, field
+from attrs import define, evolve, field
 
 from daisystack.backends import BackendError, OrderAnswer
 from daisystack.core.digests import digest_bytes
@@ -38,12 +38,17 @@
 
 @define(eq=False)
 class SimulatedOrigin:
-    """Origin of weights with a narrow link that does not respond while it is down."""
+    """Origin of weights with a narrow link that does not respond while it is down.
+
+    The first answers to requests for a list may each have one wrong digest, at the given indexes.
+    """
 
     piece_count: int
     piece_bytes: int
     link: Link
     is_down: bool = False
+    wrong_digests: list[int] = field(factory=list)
+    sent_pieces: int = 0
     _lists: dict[int, PieceList] = field(factory=dict)
 
     def body(self, version: int, index: int) -> bytes:
@@ -54,7 +59,12 @@
     def piece_list(self, model: str, version: int) -> PieceList:
         """Return the list of a version; raise BackendError while the origin is down."""
         self._send(64 * self.piece_count)
-        return self.list_of(version)
+        pieces = self.list_of(version)
+        if not self.wrong_digests:
+            return pieces
+        digests = list(pieces.digests)
+        digests[self.wrong_digests.pop(0)] = digest_bytes(b"other")
+        return evolve(pieces, digests=tuple(digests))
 
     def list_of(self, version: int) -> PieceList:
         """Return the list of a version without a call."""
@@ -66,6 +76,7 @@
     def piece(self, model: str, version: int, index: int) -> bytes:
         """Return a piece; raise BackendError while the origin is down."""
         self._send(self.piece_bytes)
+        self.sent_pieces += 1
         return self.body(version, index)
 
     def _send(self, count: int) -> None:
--- a/daisystack/tests/test_rollout_load.py
+++ b/daisystack/tests/test_rollout_load.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import itertools
 import unittest
 
 import eventlet
@@ -15,6 +16,7 @@
 from daisystack.core.rollout_schedule import OrderedLoad
 from daisystack.core.weight_pieces import EngineState
 from daisystack.runtime.clock import now_s
+from daisystack.runtime.piece_task import MAX_REJECTED
 from daisystack.testing.fleet import BYTES_PER_MBIT, run_in_passed_time
 from daisystack.testing.rollout_fleet import RolloutFleet
 
@@ -26,6 +28,19 @@
 SMALL = (("z0",), 4, 6)
 # Agents that have staged too little of the first version to keep it when the second is available.
 SLOW = (("z0", "z1", "z2"), 12, 8, 3.2)
+# Indexes of the wrong digests of the origin's first lists, and how many of these lists are used, as
+# two reads agree.
+WRONG_DIGESTS = (
+    ([], 0),
+    ([0], 0),
+    ([5], 0),
+    ([5, 9, 5], 1),
+    ([0, 0], 1),
+    ([5, 5], 1),
+    ([5, 5, 5, 5], 2),
+)
+# Of engines that complete their requests first.
+LONGEST_LOAD_S = 3.0
 
 
 class TwoVersions:
@@ -129,6 +144,35 @@
                     self.assertEqual(digests, origin.list_of(version).digests)
 
 
+def play_with_wrong_digests(size, wrong):
+    """Return a fleet after a version whose first lists from the origin had wrong digests."""
+
+    def play():
+        zones, entries, agents = size
+        fleet = RolloutFleet(zones=zones, entries_per_zone=entries, agents_per_zone=agents)
+        fleet.start()
+        fleet.origin.wrong_digests = list(wrong)
+        eventlet.sleep(2.0)
+        fleet.publish(2)
+        eventlet.sleep(fleet.bound_s + LONGEST_LOAD_S)
+        return fleet
+
+    return run_in_passed_time(play)
+
+
+class TestWrongDigests(unittest.TestCase):
+    # One wrong bit in the first list of the origin was handed on for good: no engine was loaded,
+    # and the origin sent the piece with the wrong digest without end.
+    def test_a_version_is_loaded_in_time_whatever_its_first_lists_said(self):
+        for size, (wrong, used) in itertools.product((WIDE, SMALL), WRONG_DIGESTS):
+            with self.subTest(size=size, wrong=wrong):
+                fleet = play_with_wrong_digests(size, wrong)
+                self.assertEqual({agent.engine.version for agent in fleet.agents}, {2})
+                repeated = fleet.origin.sent_pieces - fleet.piece_count
+                # Each zone finds out by itself.
+                self.assertLessEqual(repeated, used * MAX_REJECTED * len(fleet.zones))
+
+
 class TestOrderedLoad(unittest.TestCase):
     # WHOLE: pieces may be replaced only once the engine has taken them for this very order.
     def test_only_an_accepted_order_of_this_incarnation_is_running(self):
--- a/daisystack/wire/gen/Peer.py
+++ b/daisystack/wire/gen/Peer.py
@@ -39,12 +39,13 @@
         """
         pass
 
-    def digests(self, model, version, wait_ms):
+    def digests(self, model, version, wait_ms, rejected):
         """
         Parameters:
          - model
          - version
          - wait_ms
+         - rejected
 
         """
         pass
@@ -177,23 +178,25 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "mirror failed: unknown result")
 
-    def digests(self, model, version, wait_ms):
+    def digests(self, model, version, wait_ms, rejected):
         """
         Parameters:
          - model
          - version
          - wait_ms
+         - rejected
 
         """
-        self.send_digests(model, version, wait_ms)
+        self.send_digests(model, version, wait_ms, rejected)
         return self.recv_digests()
 
-    def send_digests(self, model, version, wait_ms):
+    def send_digests(self, model, version, wait_ms, rejected):
         self._oprot.writeMessageBegin('digests', TMessageType.CALL, self._seqid)
         args = digests_args()
         args.model = model
         args.version = version
         args.wait_ms = wait_ms
+        args.rejected = rejected
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -493,7 +496,7 @@
         iprot.readMessageEnd()
         result = digests_result()
         try:
-            result.success = self._handler.digests(args.model, args.version, args.wait_ms)
+            result.success = self._handler.digests(args.model, args.version, args.wait_ms, args.rejected)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -962,14 +965,16 @@
      - model
      - version
      - wait_ms
+     - rejected
 
     """
 
 
-    def __init__(self, model=None, version=None, wait_ms=None,):
+    def __init__(self, model=None, version=None, wait_ms=None, rejected=None,):
         self.model = model
         self.version = version
         self.wait_ms = wait_ms
+        self.rejected = rejected
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -995,6 +1000,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.rejected = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1017,6 +1027,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.STRING, 4)
+            oprot.writeString(self.rejected.encode('utf-8') if sys.version_info[0] == 2 else self.rejected)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1039,6 +1053,7 @@
     (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.STRING, 'rejected', 'UTF8', None, ),  # 4
 )
 
 
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -212,7 +212,8 @@
   MirrorDelta mirror(1: string prefix, 2: i64 after_revision, 3: i64 era, 4: list<i64> held,
     5: bool accepts_packed)
   // Digests of a version's pieces in order, empty if they stay unknown for wait_ms.
-  list<string> digests(1: string model, 2: i64 version, 3: i32 wait_ms)
+  // The caller names the fingerprint of a list that it has found to be wrong, if any.
+  list<string> digests(1: string model, 2: i64 version, 3: i32 wait_ms, 4: string rejected)
   Piece piece(1: PieceAsk ask)
   Status exchange(1: Status mine)
   Document document(1: i64 after_revision)
