Give way while bytes of an answer or a body keep arriving

Cause: recv on a green socket enters the event loop only if there is nothing to read, so the loop over the answer's events never gave way while bytes arrived as fast as they were parsed; no other green thread ran and no timer fired. Ruled out: a lack of processor time alone, as a probe measured stalls of 1.0 to 2.9 s at a time limit of 1 s, and not of one parsed read.

Change: a green thread gives way once it has run for 2 ms: attempts at each event and each read, callers' bodies, and answers to the own interface, whose client now shares the bounded connection of calls to the platform. Attempts check their deadline when they come back, callers' bodies also while bytes arrive.

--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import json
-import socket
 
 import eventlet
 import eventlet.patcher
 import urllib3
-import urllib3.connection
 from attrs import define, field, frozen
 
 from daisystack.backends.base import BackendError
-from daisystack.runtime.turns import YieldingSocket
+from daisystack.backends.connections import YieldingConnection
 
 __all__ = ["HttpResponse", "HttpEndpoint"]
 
@@ -20,9 +18,6 @@
 READ_TIMEOUT_S = 5.0
 # A response whose bytes keep arriving gets this much longer than the wait for its first byte.
 TRANSFER_TIMEOUT_S = 5.0
-# A server that goes on sending them never answers.
-MAX_INTERIM_RESPONSES = 8
-CONTINUE = 100
 MAX_CONNECTIONS = 4
 READ_BLOCK_BYTES = 1024 * 1024
 MAX_RESPONSE_BYTES = 20 * 1024 * 1024
@@ -40,36 +35,7 @@
     body: bytes
 
 
-class _Response(urllib3.connection.HTTPConnection.response_class):
-    """Response whose interim responses are bounded; its base class reads any number of them."""
-
-    interim_count = 0
-
-    def _read_status(self) -> tuple[str, int, str]:
-        version, status, reason = super()._read_status()
-        if status == CONTINUE:
-            self.interim_count += 1
-            if self.interim_count > MAX_INTERIM_RESPONSES:
-                raise urllib3.exceptions.ProtocolError(
-                    f"over {MAX_INTERIM_RESPONSES} interim responses"
-                )
-        return version, status, reason
-
-
-class _Connection(urllib3.connection.HTTPConnection):
-    response_class = _Response
-
-    def _new_conn(self) -> socket.socket:
-        sock = YieldingSocket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(self.timeout)
-        try:
-            sock.connect((self.host, self.port))
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
+class _Connection(YieldingConnection):
     @property
     def is_connected(self) -> bool:
         """Whether the connection is open and idle, without an answer that nobody requested."""
--- a/daisystack/runtime/caller_http.py
+++ b/daisystack/runtime/caller_http.py
@@ -19,6 +19,7 @@
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.events import CallerRefused
 from daisystack.runtime.logs import log_event
+from daisystack.runtime.turns import Turn
 
 __all__ = ["CallerGone", "CallerServer", "InboundRequest", "Responder"]
 
@@ -263,7 +264,9 @@
     def _read_body(self, limits: CallerLimits) -> bytes:
         body = bytearray()
         deadline_s = now_s() + limits.idle_timeout_s
+        turn = Turn()
         while True:
+            turn.give_way()
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
@@ -304,9 +307,10 @@
             self.http.receive_data(bytes(self._pipelined))
             self._pipelined.clear()
             return True
-        if self._is_closed_by_caller:
+        left_s = deadline_s - now_s()
+        if self._is_closed_by_caller or left_s <= 0:
             return False
-        with eventlet.Timeout(max(0.0, deadline_s - now_s()), False):
+        with eventlet.Timeout(left_s, False):
             data = self.sock.recv(READ_BYTES)
             self._is_closed_by_caller = not data
             self.http.receive_data(data)
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -15,6 +15,7 @@
 from daisystack.core.addresses import parse_address
 from daisystack.core.verdicts import AttemptEnd
 from daisystack.runtime.clock import now_s
+from daisystack.runtime.turns import Turn
 from daisystack.runtime.upstream_http import AttemptFailed
 
 __all__ = ["MAX_BODY_BYTES", "AnswerHead", "DirectExchange"]
@@ -61,6 +62,7 @@
     was_reset: bool = False
     _sock: socket.socket | None = None
     _check_due_s: float = float("-inf")
+    _turn: Turn = field(factory=Turn)
     _http: h11.Connection = field(
         factory=lambda: h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
     )
@@ -136,6 +138,8 @@
             except h11.RemoteProtocolError as error:
                 raise AttemptFailed(end, f"no HTTP answer: {error}") from error
             if event is not h11.NEED_DATA:
+                if self._turn.give_way():
+                    self._check_time()
                 return event
             try:
                 data = self._wait_for_bytes()
@@ -147,20 +151,38 @@
 
     def _wait_for_bytes(self) -> bytes:
         while True:
-            at_s = now_s()
-            if at_s >= self.deadline_s:
-                raise AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed")
-            if at_s >= self._check_due_s:
-                # Also while bytes arrive, as they need not be part of an answer.
-                self._check_due_s = at_s + WAIT_CHECK_INTERVAL_S
-                self.check_wait()
-            wait_s = min(self.deadline_s, self._check_due_s) - at_s
+            wait_s = self._check_time()
             with eventlet.Timeout(wait_s, False):
-                return _receive(self._sock)
+                return self._receive()
+
+    def _check_time(self) -> float:
+        """Return how long to wait at most; raise AttemptFailed if the exchange must end."""
+        at_s = now_s()
+        if at_s >= self.deadline_s:
+            raise AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed")
+        if at_s >= self._check_due_s:
+            # Also while bytes arrive, as they need not be part of an answer.
+            self._check_due_s = at_s + WAIT_CHECK_INTERVAL_S
+            self.check_wait()
+        return min(self.deadline_s, self._check_due_s) - at_s
+
+    def _receive(self) -> bytes:
+        """Return the next bytes, or b"" at the end of the stream; raise OSError on a reset.
+
+        The green socket's own recv returns b"" for a reset too, which would look like the regular
+        end of a response without a length.
+        """
+        self._turn.give_way()
+        while True:
+            try:
+                return self._sock.fd.recv(READ_BYTES)
+            except BlockingIOError:
+                hubs.trampoline(self._sock.fd, read=True)
+                self._turn.restart()
 
     def _receive_answer_bytes(self) -> bool:
         with contextlib.suppress(OSError), eventlet.Timeout(CONNECT_TIMEOUT_S, False):
-            data = _receive(self._sock)
+            data = self._receive()
             self._http.receive_data(data)
             return bool(data)
         return False
@@ -170,19 +192,6 @@
         return eventlet.Timeout(left_s, AttemptFailed(AttemptEnd.DEADLINE, "deadline has passed"))
 
 
-def _receive(sock: green_socket.socket) -> bytes:
-    """Return the next bytes, or b"" at the end of the stream; raise OSError on a reset.
-
-    The green socket's own recv returns b"" for a reset too, which would look like the regular end
-    of a response without a length.
-    """
-    while True:
-        try:
-            return sock.fd.recv(READ_BYTES)
-        except BlockingIOError:
-            hubs.trampoline(sock.fd, read=True)
-
-
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/daisystack/runtime/turns.py
+++ b/daisystack/runtime/turns.py
@@ -24,11 +24,13 @@
         """Record that other green threads have just run."""
         self.started_s = now_s()
 
-    def give_way(self) -> None:
-        """Let other green threads run if this turn has lasted too long."""
-        if now_s() - self.started_s >= MAX_TURN_S:
-            eventlet.sleep(0)
-            self.restart()
+    def give_way(self) -> bool:
+        """Let other green threads run if this turn has lasted too long; return whether it had."""
+        if now_s() - self.started_s < MAX_TURN_S:
+            return False
+        eventlet.sleep(0)
+        self.restart()
+        return True
 
 
 class YieldingSocket(GreenSocket):
--- a/daisystack/runtime/upstream_http.py
+++ b/daisystack/runtime/upstream_http.py
@@ -9,8 +9,10 @@
 from attrs import define, field
 from eventlet import hubs
 
+from daisystack.backends.connections import YieldingConnection
 from daisystack.core.verdicts import AttemptEnd
 from daisystack.runtime.clock import now_s
+from daisystack.runtime.turns import Turn
 
 __all__ = ["AttemptFailed", "UpstreamAnswer", "UpstreamClient"]
 
@@ -114,8 +116,10 @@
             self.abandon()
             raise AttemptFailed(AttemptEnd.ANSWER_CUT, "answer has no length and no chunks")
         watchdog = _ProgressWatchdog(self._progress_timeout_s)
+        turn = Turn()
         try:
             while True:
+                turn.give_way()
                 watchdog.start()
                 data = self._response.read1(READ_BYTES)
                 watchdog.pause()
@@ -145,6 +149,10 @@
         return chunked or headers.get("Content-Length", "").isdigit()
 
 
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = YieldingConnection
+
+
 @define(eq=False)
 class UpstreamClient:
     """Send requests to one address over pooled connections."""
@@ -157,7 +165,7 @@
 
     def __attrs_post_init__(self) -> None:
         host, _, port = self.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = _Pool(
             host, int(port), maxsize=MAX_IDLE_CONNECTIONS, block=False, retries=False
         )
 
--- a/daisystack/tests/test_caller_http.py
+++ b/daisystack/tests/test_caller_http.py
@@ -2,13 +2,14 @@
 
 import socket
 import unittest
+from contextlib import closing
 
 import eventlet
 
 from daisystack.core.addresses import parse_address
 from daisystack.core.traffic import CallerLimits
 from daisystack.runtime.caller_http import CallerGone, CallerServer
-from daisystack.testing.scripted import free_address
+from daisystack.testing.scripted import free_address, measure_stalls
 
 LIMITS = CallerLimits(
     max_head_bytes=2048, max_body_bytes=1000, head_timeout_s=0.3, idle_timeout_s=0.6
@@ -41,13 +42,13 @@
 class ServerFixture:
     """A running caller server that records the requests passed to its handler."""
 
-    def __init__(self, handler=None):
+    def __init__(self, handler=None, limits=LIMITS):
         self.requests = []
         self.is_leaving = False
         self.handler = handler or (lambda request, responder: responder.send_answer(200, [], b"ok"))
         self.address = free_address()
         self.server = CallerServer(
-            parse_address(self.address), self.handle, lambda: LIMITS, lambda: self.is_leaving
+            parse_address(self.address), self.handle, lambda: limits, lambda: self.is_leaving
         )
         self.server.start()
 
@@ -75,6 +76,16 @@
 
 
 class TestFraming(unittest.TestCase):
+    # A body within its limit, in chunks of a byte, held up all other callers until it was read.
+    def test_a_body_in_tiny_chunks_holds_up_no_other_caller(self):
+        fixture = ServerFixture(limits=CallerLimits())
+        body = b"1\r\na\r\n" * 100_000
+        with closing(fixture.connect()) as sock, measure_stalls() as probe:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body + b"0\r\n\r\n")
+            read_until(sock, b"ok")
+        self.assertEqual(len(fixture.requests), 1)
+        self.assertLess(probe.longest_s, 0.1)
+
     def test_ambiguous_or_invalid_request_is_refused_and_connection_closed(self):
         for name, sent, status in REFUSED:
             with self.subTest(name):
--- a/daisystack/tests/test_endless_answers.py
+++ b/daisystack/tests/test_endless_answers.py
@@ -18,7 +18,7 @@
     build_route,
     build_upstream,
 )
-from daisystack.testing.scripted import EndlessAnswer, ScriptedServer, read_request
+from daisystack.testing.scripted import EndlessAnswer, ScriptedServer, measure_stalls, read_request
 
 BLOCK_BYTES = 16_384
 # Far more than any answer of an upstream, and far less than the memory of an entry.
@@ -42,7 +42,16 @@
     "body without length": (OK + MARK + b"\r\n", b"x" * BLOCK_BYTES),
     "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n" * 2_000),
     "event without end": (STREAM, CHUNK),
+    # Blocks that keep the receiver busy while the sender doesn't run.
+    "body in chunks of one byte": (CHUNKED, b"1\r\nx\r\n" * 100_000),
+    "body in chunks of 16 bytes": (CHUNKED, b"10\r\n0123456789abcdef\r\n" * 50_000),
+    "small events": (STREAM, b"c\r\ndata: 1234\n\n\r\n" * 50_000),
+    "event without end in small chunks": (STREAM, b"1\r\nx\r\n" * 100_000),
 }
+# How long other requests may be held up beside several such answers. A request waits for its turn
+# a few times, and must be answered within half a second of its limit.
+MAX_STALL_S = 0.1
+CONCURRENT = 3
 
 
 def serve_one(script, kind=RequestKind.UNSAFE):
@@ -72,6 +81,20 @@
                 self.assertNotIn(responder.status, (408, 421, 429, 503))
                 self.assertFalse(responder.status == 200 and responder.is_done)
 
+    # While one upstream's answer never ran out of bytes, the entry served no other request.
+    def test_none_holds_up_other_requests(self):
+        for name, (head, block) in ENDLESS.items():
+            with self.subTest(name):
+                kind = RequestKind.STREAM if head is STREAM else RequestKind.UNSAFE
+                with measure_stalls() as probe:
+                    tasks = [
+                        eventlet.spawn(serve_one, EndlessAnswer(head, block), kind)
+                        for _ in range(CONCURRENT)
+                    ]
+                    for task in tasks:
+                        task.wait()
+                self.assertLess(probe.longest_s, MAX_STALL_S)
+
     def test_an_endless_answer_to_an_unsafe_request_is_not_retried(self):
         scripts = [EndlessAnswer(*ENDLESS["body in chunks"]) for _ in range(2)]
         servers = [ScriptedServer([script]) for script in scripts]
