Treat an answer as cut if its request's sending ended by an error

Cause: the reset was reported to sendall. A socket reports an error once, so the next read returned the end of the stream, the regular end of an answer without a length. was_reset was set, but only the count of crashes reads it. Ruled out: that resets while reading are mistaken, as the tests of these pass.

Change: the exchange keeps the error that ended the sending and raises it if the stream ends before the answer has. An answer with a length or chunks is whole as soon as its end has arrived, as before.

--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -60,6 +60,8 @@
     check_wait: Callable[[], None] = lambda: None
     has_sent: bool = False
     was_reset: bool = False
+    # The error that ended the sending; the socket reports it once only.
+    _send_error: OSError | None = None
     _sock: socket.socket | None = None
     _check_due_s: float = float("-inf")
     _turn: Turn = field(factory=Turn)
@@ -95,6 +97,7 @@
             except OSError as error:
                 # The upstream may have responded and closed before it read the whole request.
                 self.was_reset = True
+                self._send_error = error
                 if not self._receive_answer_bytes():
                     raise AttemptFailed(AttemptEnd.NO_ANSWER, str(error)) from error
 
@@ -147,6 +150,9 @@
                 self.was_reset = True
                 raise AttemptFailed(end, str(error)) from error
             self.was_reset = self.was_reset or not data
+            if not data and self._send_error is not None:
+                # For an answer without a length this would be its regular end.
+                raise AttemptFailed(end, str(self._send_error))
             self._http.receive_data(data)
 
     def _wait_for_bytes(self) -> bytes:
--- a/daisystack/tests/test_unframed_answers.py
+++ b/daisystack/tests/test_unframed_answers.py
@@ -17,6 +17,8 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nDaisystack-Mark: m\r\nDaisystack-Version: 3\r\n\r\n"
 STREAM = HEAD % b"text/event-stream"
+# More than the sockets' buffers hold, so that it is still being sent when the answer begins.
+LONG_BODY = b"x" * 4_000_000 + b"last"
 FIRST, SECOND = b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n"
 
 
@@ -33,7 +35,23 @@
     return run
 
 
-def serve(*scripts, kind=RequestKind.STREAM, is_resumable=True):
+def answer_early(*pieces, reads_on=False):
+    """Return a script that answers before it has read a long body, and reads on or is reset."""
+
+    def run(sock):
+        sock.recv(1000)
+        for piece in pieces:
+            sock.sendall(piece)
+            eventlet.sleep(0.01)
+        while reads_on and not sock.recv(1_000_000).endswith(LONG_BODY[-4:]):
+            pass
+        if not reads_on:
+            reset(0)(sock)
+
+    return run
+
+
+def serve(*scripts, kind=RequestKind.STREAM, is_resumable=True, body=b"{}"):
     """Send a request to upstreams in order; return the responder and the reported ends."""
     servers = [ScriptedServer([s]) for s in scripts]
     upstreams = [
@@ -45,7 +63,7 @@
     ends = []
     requests.on_attempt_ended = lambda event: ends.append(event.end)
     responder = RecordingResponder()
-    requests.handle(build_inbound(), responder)
+    requests.handle(build_inbound(body=body), responder)
     for server in servers:
         server.close()
     return responder, ends
@@ -91,6 +109,41 @@
         self.assertEqual((responder.status, responder.body), (200, b"good"))
         self.assertEqual(ends, ["answered"])
 
+    # MIXED: the send of a long body took note of the reset, and the end of what had arrived before
+    # it passed for the end of the answer.
+    def test_an_answer_cut_by_a_reset_while_the_body_is_sent_is_not_whole(self):
+        head = HEAD % b"application/json"
+        for kind, expected in ((RequestKind.SAFE, "answered"), (RequestKind.UNSAFE, "answer_cut")):
+            with self.subTest(kind):
+                whole = answer_early(head, b"good", reads_on=True)
+                responder, ends = serve(
+                    answer_early(head, b"go"),
+                    whole,
+                    kind=kind,
+                    is_resumable=False,
+                    body=LONG_BODY,
+                )
+                self.assertEqual(ends[0], "answer_cut")
+                self.assertEqual(ends[-1], expected)
+                self.assertEqual(responder.body == b"good", expected == "answered")
+                self.assertEqual(responder.status, 200 if expected == "answered" else 502)
+
+    def test_a_stream_cut_by_a_reset_while_the_body_is_sent_is_resumed(self):
+        cut = answer_early(STREAM, FIRST)
+        whole = answer_early(STREAM, SECOND, reads_on=True)
+        responder, ends = serve(cut, whole, body=LONG_BODY)
+        self.assertEqual((responder.body, responder.is_done), (FIRST + SECOND, True))
+        self.assertEqual(ends, ["answer_cut", "answered"])
+
+    # The length or the last chunk shows that nothing is missing.
+    def test_an_answer_that_names_its_end_is_whole_in_spite_of_the_reset(self):
+        head = HEAD[:-2] % b"application/json" + b"Content-Length: 4\r\n\r\n"
+        responder, ends = serve(
+            answer_early(head, b"good"), kind=RequestKind.UNSAFE, body=LONG_BODY
+        )
+        self.assertEqual((responder.status, responder.body), (200, b"good"))
+        self.assertEqual(ends, ["answered"])
+
 
 if __name__ == "__main__":
     unittest.main()
