Believe a refusal only of the request that it can be about

Reported by other operators: an earlier refusal, written once more, and clients were told "not run" for requests that had run (REFUSED), or these ran at a second upstream (TWICE). Possible here, though no connection is used twice: a refusal that names another request was believed, as was one that came before the request.

Cause: the attempt looked at "not run" before it checked whose answer it was.

Change: a refusal counts if it names no request or this one. An attempt whose connection has bytes or is closed before the request is sent ends there, not run.

--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -92,6 +92,7 @@
         exchange = DirectExchange(upstream.address, self.deadline_s, guard.check_wait)
         try:
             exchange.connect()
+            exchange.check_silent()
             guard.check_send()
             self._send(exchange, upstream, workspace, priority, run_until_s)
             return self._receive_answer(exchange)
@@ -129,7 +130,8 @@
         head = exchange.read_head()
         answer = self.dialect.read_answer(head.status, head.headers)
         self._on_answer(answer)
-        if answer.was_not_run:
+        # An upstream may refuse a request without its id, but not with that of another one.
+        if answer.was_not_run and answer.request_id in (None, self.request.id):
             return AttemptResult(
                 AttemptEnd.REFUSED_AT_GATE,
                 f"upstream said {head.status}",
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -83,6 +83,17 @@
         sock.settimeout(None)
         self._sock = sock
 
+    def check_silent(self) -> None:
+        """Raise AttemptFailed if anything has arrived before the request is sent."""
+        try:
+            data = self._sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            raise AttemptFailed(AttemptEnd.CONNECT_FAILED, str(error)) from error
+        reason = "an answer came before the request" if data else "closed before the request"
+        raise AttemptFailed(AttemptEnd.CONNECT_FAILED, reason)
+
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send the whole request; raise AttemptFailed on failure or at the deadline."""
         request = h11.Request(method=method, target=target, headers=headers)
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -9,6 +9,7 @@
 from daisystack.core.placement import Placement
 from daisystack.core.traffic import RequestKind, Workspace
 from daisystack.runtime.caller_http import CallerGone
+from daisystack.runtime.direct_http import DirectExchange
 from daisystack.testing.direct import (
     RecordingResponder,
     build_inbound,
@@ -31,6 +32,11 @@
 GOOD = send_and_close(build_answer(b"good", head=MARK))
 FAILED = send_and_close(build_answer(b"failed", "500 Internal Server Error", MARK))
 SHED = send_and_close(build_answer(b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\n"))
+SHED_OTHER = send_and_close(
+    build_answer(
+        b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\nDaisystack-Request: other\r\n"
+    )
+)
 BARE_503 = send_and_close(build_answer(b"", "503 Service Unavailable"))
 TRUNCATED = send_and_close(build_answer(b"go", head=MARK, length=4))
 FOREIGN = send_and_close(build_answer(b"other", head=MARK + "Daisystack-Request: other\r\n"))
@@ -45,6 +51,8 @@
 CASES = [
     ("refused connection", None, 200, 200),
     ("shed", SHED, 200, 200),
+    # REFUSED, TWICE: a refusal of an earlier request was believed of one that was running.
+    ("refusal of another request", SHED_OTHER, 502, 200),
     ("503 without a not-run header", BARE_503, 502, 200),
     ("reset before the request was read", reset(10), 502, 200),
     ("closed without a response", NO_BYTES, 502, 200),
@@ -157,6 +165,30 @@
 
 
 class TestExtraBytes(unittest.TestCase):
+    # REFUSED, TWICE: a refusal without an id may be believed only if it can be of this request.
+    def test_bytes_before_the_request_are_no_answer_to_it(self):
+        early = build_answer(b"", "503 Service Unavailable", "Daisystack-Not-Run: 1\r\n")
+        received = []
+
+        def refuse_early(sock):
+            sock.sendall(early)
+            received.append(read_request(sock))
+
+        def connect_slowly(exchange):
+            connect(exchange)
+            eventlet.sleep(0.05)
+
+        connect = DirectExchange.connect
+        server = ScriptedServer([refuse_early, GOOD])
+        self.addCleanup(server.close)
+        upstreams = [build_upstream(f"u{i}", server.address) for i in range(2)]
+        requests = build_requests(build_policy(build_route(RequestKind.UNSAFE)), upstreams)
+        responder = RecordingResponder()
+        with mock.patch.object(DirectExchange, "connect", connect_slowly):
+            requests.handle(build_inbound(), responder)
+        self.assertEqual((responder.status, responder.body), (200, b"good"))
+        self.assertEqual(received, [b""])
+
     def test_bytes_after_a_response_are_ignored(self):
         extra = build_answer(b"extra", head=MARK)
         script = send_and_close(build_answer(b"good", head=MARK) + extra)
