Name the ticket in each response of an agent, and check it in reports

Change: agents name the ticket in each response, entries believe a report only of their own. Reports of earlier releases name none and are believed as before.

Evidence: the case "refuses another ticket" in test_entry_verdicts failed before (not_run in place of may_have_run); 33 passed with test_agent_verdicts, which checks each response, test_at_most_once and test_crashes.

--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -211,12 +211,14 @@
     ) -> _AttemptResult:
         instance_id = assignment.instance.id
         end = answer.header(headers.ATTEMPT_END)
-        if end is not None:
+        ticket = answer.header(headers.TICKET)
+        # Agents of an earlier release name no ticket where they report an end.
+        if end is not None and ticket in (None, str(assignment.ticket)):
             outcome = parse_reported_outcome(instance_id, end, answer)
             if outcome.is_leaving:
                 self.upstreams.mark_unreachable(assignment)
             return _AttemptResult(outcome)
-        if answer.header(headers.TICKET) != str(assignment.ticket):
+        if ticket != str(assignment.ticket):
             answer.abandon()
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer names another ticket")
         self.upstreams.record_reported_load(assignment, answer.header(headers.IN_FLIGHT))
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -67,6 +67,12 @@
     def handle(self, request: Request, subpath: str) -> Response:
         """Refuse, replay or run one attempt sent by an entry."""
         attempt = self._parse(request, subpath)
+        response = self._respond(attempt)
+        if any(name == headers.TICKET for name, _ in response.headers):
+            return response
+        return evolve(response, headers=(*response.headers, (headers.TICKET, str(attempt.ticket))))
+
+    def _respond(self, attempt: _Attempt) -> Response:
         uptime_s = self.daemon.uptime_s(now_s())
         reason = self._refusal_reason(attempt)
         if reason is not None:
--- a/daisystack/tests/test_agent_verdicts.py
+++ b/daisystack/tests/test_agent_verdicts.py
@@ -59,7 +59,10 @@
         "wsgi.input": BytesIO(body),
     }
     environ |= {f"HTTP_DAISYSTACK_{name.upper()}": value for name, value in headers.items()}
-    return agent.forwarder.handle(Request("POST", "", environ), "generate")
+    response = agent.forwarder.handle(Request("POST", "", environ), "generate")
+    # A response without it could be taken for that to another ticket on the same connection.
+    assert dict(response.headers)["Daisystack-Ticket"] == str(ticket), response.headers
+    return response
 
 
 def verdict(response):
--- a/daisystack/tests/test_entry_verdicts.py
+++ b/daisystack/tests/test_entry_verdicts.py
@@ -37,6 +37,7 @@
     "502 Bad Gateway",
     "Daisystack-Verdict: may_have_run\r\nDaisystack-Attempt-End: no_answer\r\n",
 )
+OTHER_REFUSED = REFUSED.replace(b"\r\n\r\n", b"\r\nDaisystack-Ticket: s1.1.9.other\r\n\r\n", 1)
 OTHER_TICKET = build_answer(b"another's", head="Daisystack-Ticket: s1.1.9.other\r\n")
 STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 ONE_EVENT = b"9\r\ndata: 1\n\n\r\n"
@@ -106,6 +107,8 @@
             "does not send HTTP": (send_and_close(b"220 ready\r\n"), "may_have_run"),
             "answers with no ticket": (send_and_close(build_answer(b"whose?")), "may_have_run"),
             "answers another ticket": (send_and_close(OTHER_TICKET), "may_have_run"),
+            # REFUSED: a refusal of an earlier ticket, repeated on a kept connection.
+            "refuses another ticket": (send_and_close(OTHER_REFUSED), "may_have_run"),
             "refuses at the gate": (send_and_close(REFUSED), "not_run"),
             "reports a lost outcome": (send_and_close(ENGINE_DIED), "may_have_run"),
             "cuts a stream before its first event": (
