Test that an upstream's error never gets into a broken stream

Reported by other operators: a stream had begun and broke off, the next upstream answered with an error, and callers found the error's text in their stream, or the stream ended as if it were complete (ORDER, MIXED).

Not possible here: 12 kinds of answers of the second upstream, each with and without room to hold it, leave the stream as it was and incomplete.

--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -1,11 +1,13 @@
 """Test direct requests to scripted upstreams: each point of failure and the allowed outcomes."""
 
+import itertools
 import socket
 import unittest
 from unittest import mock
 
 import eventlet
 
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.placement import Placement
 from daisystack.core.traffic import RequestKind, Workspace
 from daisystack.runtime.caller_http import CallerGone
@@ -78,7 +80,7 @@
             self.script(sock)
 
 
-def serve(kind, scripts, inbound=None, workspaces=(), age_s=0.0, **route):
+def serve(kind, scripts, inbound=None, workspaces=(), age_s=0.0, held=None, **route):
     """Send one request to upstreams tried in order.
 
     Return the responder, the number of requests at each upstream and the DirectRequests.
@@ -92,6 +94,7 @@
     ]
     policy = build_policy(build_route(kind, **route), workspaces)
     requests = build_requests(policy, upstreams, age_s)
+    requests.held = held or requests.held
     responder = RecordingResponder()
     requests.handle(inbound or build_inbound(), responder)
     for server in filter(None, servers):
@@ -362,6 +365,38 @@
         )
         self.assertEqual((responder.body, responder.is_done), (self.event(1), False))
 
+    # ORDER, MIXED: the next upstream's error must not stand in the stream, nor end it as complete.
+    def test_an_error_after_a_broken_stream_leaves_it_incomplete(self):
+        error, event = b'{"error": "x"}', self.event(2)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(event), event)
+        plain = f"HTTP/1.1 500 Oops\r\nContent-Type: text/event-stream\r\n{MARK}".encode()
+        scripts = {
+            "500": send_and_close(build_answer(error, "500 Oops", MARK)),
+            "500 in chunks, as a stream": send_and_close(plain + chunked),
+            "500 as a stream without an end": send_and_close(plain + b"\r\n" + event),
+            "404": send_and_close(build_answer(error, "404 Not Found", MARK)),
+            "200, no stream": send_and_close(build_answer(error, head=MARK)),
+            "204": send_and_close(f"HTTP/1.1 204 No Content\r\n{MARK}\r\n".encode()),
+            "refusal": SHED,
+            "refusal of another request": SHED_OTHER,
+            "unmarked": send_and_close(build_answer(error)),
+            "no HTTP": GARBAGE,
+            "nothing": NO_BYTES,
+            "no connection": None,
+        }
+        for (name, script), limit_bytes in itertools.product(scripts.items(), (1e9, 1)):
+            with self.subTest(name, limit_bytes=limit_bytes):
+                responder, _, requests = serve(
+                    RequestKind.STREAM,
+                    [self.stream(self.event(1), end=b""), script],
+                    held=HeldBytes(limit_bytes),
+                    is_resumable=True,
+                    objective_s=0.0,
+                )
+                self.assertEqual((responder.status, responder.body), (200, self.event(1)))
+                self.assertFalse(responder.is_done)
+                self.assertEqual(requests.outcomes, {("broken_off", 200): 1})
+
     def test_stream_broken_before_first_event_restarts(self):
         first = self.stream(end=b"")
         responder, _, _ = serve(
