Repeat requests of a resumable route only if it carries streams

Cause: is_repeatable looked at the setting without the kind.

Evidence: the new line of the table in test_direct_core failed before; the module and test_policy_check pass.

--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -61,7 +61,8 @@
     @property
     def is_repeatable(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is RequestKind.SAFE or self.is_resumable
+        is_resumable_stream = self.kind is RequestKind.STREAM and self.is_resumable
+        return self.kind is RequestKind.SAFE or is_resumable_stream
 
     def choose_service(self, draw: float) -> str:
         """Return the service for a random number in [0, 1), in proportion to the weights."""
--- a/daisystack/tests/test_direct_core.py
+++ b/daisystack/tests/test_direct_core.py
@@ -59,6 +59,8 @@
         for kind, resumable, expected in [
             (RequestKind.SAFE, False, True),
             (RequestKind.UNSAFE, False, False),
+            # TWICE: a setting that is meant for streams let requests that may run once be repeated.
+            (RequestKind.UNSAFE, True, False),
             (RequestKind.STREAM, False, False),
             (RequestKind.STREAM, True, True),
         ]:
