Count an attempt's turn from when its connection is open

The wait for the connection let others run already; without this each attempt gave way once more than needed.

--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -82,6 +82,7 @@
             raise AttemptFailed(AttemptEnd.CONNECT_FAILED, str(error)) from error
         sock.settimeout(None)
         self._sock = sock
+        self._turn.restart()
 
     def check_silent(self) -> None:
         """Raise AttemptFailed if anything has arrived before the request is sent."""
