End a trickling body at an agent after its request's deadline

A body that is needed whole now ends one progress timeout after the deadline; that much later it may still be recorded for the ticket's owner. Streams are left as they are: their callers read them as they come.

--- a/daisystack/runtime/upstream_http.py
+++ b/daisystack/runtime/upstream_http.py
@@ -78,6 +78,8 @@
 
     _response: urllib3.BaseHTTPResponse
     _progress_timeout_s: float
+    # A body that is needed whole ends by then, also while its bytes keep arriving.
+    _body_deadline_s: float = float("inf")
 
     @property
     def status(self) -> int:
@@ -108,6 +110,9 @@
                 self.abandon()
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, f"answer is over {max_bytes} bytes")
             parts.append(data)
+            if now_s() >= self._body_deadline_s:
+                self.abandon()
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "body is not complete in time")
         return b"".join(parts)
 
     def iter_body(self) -> Iterator[bytes]:
@@ -175,6 +180,7 @@
         """Send a POST request and return the answer with its body unread; raise AttemptFailed."""
         if not self.reuse_connections:
             headers = headers | {"Connection": "close"}
+        body_deadline_s = now_s() + timeout_s + self.progress_timeout_s
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=max(0.01, timeout_s))
         try:
             with eventlet.Timeout(max(0.01, timeout_s) + CONNECT_TIMEOUT_S):
@@ -197,7 +203,7 @@
             raise AttemptFailed(AttemptEnd.NO_ANSWER, f"no answer in {timeout_s} s") from None
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise AttemptFailed(AttemptEnd.NO_ANSWER, str(error)) from error
-        return UpstreamAnswer(response, self.progress_timeout_s)
+        return UpstreamAnswer(response, self.progress_timeout_s, body_deadline_s)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/daisystack/tests/test_agent_verdicts.py
+++ b/daisystack/tests/test_agent_verdicts.py
@@ -15,6 +15,7 @@
 from daisystack.testing import build_raw_document
 from daisystack.testing.fakes import FakeEngine
 from daisystack.testing.scripted import (
+    EndlessAnswer,
     ScriptedServer,
     build_answer,
     free_address,
@@ -96,6 +97,16 @@
                     self.assertEqual(verdict(response), ("may_have_run", "no"))
                 self.assertEqual((server.connections, agent.forwarder.in_flight), (1, 0))
 
+    # A body that trickled without end kept a place of the agent until it was max_answer_bytes long.
+    def test_a_body_that_trickles_ends_after_the_deadline(self):
+        head, byte = build_answer(b"", length=1_000_000), b"x"
+        server = self.serve(EndlessAnswer(head, byte, 0.02))
+        agent = build_agent(server.address, progress_timeout_s=0.2)
+        with eventlet.Timeout(2.0):
+            response = forward(agent, build_ticket(agent), time_left_s="0.3")
+        self.assertEqual(verdict(response), ("may_have_run", "no"))
+        self.assertEqual(agent.forwarder.in_flight, 0)
+
     def test_refused_engine_connection_is_not_run_and_sealed(self):
         agent = build_agent(free_address())
         ticket = build_ticket(agent)
