Forward nothing in a stream that is no event

Reported by other operators (ORDER, MIXED): the text of an error in the middle of a stream. Possible here in one way: an upstream whose head says that a stream begins, and that then writes text, or a second head, where an event is due.

Cause: the splitter looked for the blank line at the end of an event and for ids, not at whether there is an event.

Change: text without a field of an event or a comment ends the attempt like a cut answer, is not forwarded, and a stream that may be resumed goes on elsewhere.

--- a/daisystack/core/event_stream.py
+++ b/daisystack/core/event_stream.py
@@ -12,6 +12,8 @@
 __all__ = ["EventSplitter", "StreamEvent"]
 
 _EVENT_DELIMITER = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# A field of an event, or a comment; receivers ignore all other lines.
+_KNOWN_LINE = re.compile(rb"^(?:(?:data|event|id|retry)(?:[:\r\n])|:)", re.MULTILINE)
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 # Bytes of a delimiter that may have arrived without its end.
 _PARTIAL_DELIMITER_BYTES = 3
@@ -26,6 +28,11 @@
     body: bytes
     id: bytes | None
 
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the bytes are an event or a comment, and not some other text."""
+        return bool(_KNOWN_LINE.search(self.body)) or not self.body.strip()
+
     @property
     def number(self) -> int | None:
         """Return the id as a number, or None if it is absent or not a number."""
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -202,6 +202,8 @@
             )
         event_count = 0
         for event in self._iter_events(exchange):
+            if not event.is_valid:
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "text that is no event")
             event_count += 1
             self._sent.record_received(now_s())
             if self._is_duplicate(event):
--- a/daisystack/tests/test_crash_fleet.py
+++ b/daisystack/tests/test_crash_fleet.py
@@ -21,8 +21,7 @@
 RARE = (8, 3, 6, 10.0, 2.0)
 
 
-@functools.cache
-def play(site, duration_s=20.0, **options):
+def build_fleet(site, **options):
     entries, zones, engines, sound_per_s, culprit_per_s = site
     fleet = CrashFleet(
         entries,
@@ -34,25 +33,19 @@
         **options,
     )
     fleet.introduce_all()
+    return fleet
+
+
+@functools.cache
+def play(site, duration_s=20.0, **options):
+    fleet = build_fleet(site, **options)
     fleet.run(duration_s)
     return fleet
 
 
 def play_restart(site, seed, step_s, **options):
     """Return a fleet whose entries all started again, step_s after one another."""
-    entries, zones, engines, sound_per_s, culprit_per_s = site
-    fleet = CrashFleet(
-        entries,
-        zones,
-        seed=seed,
-        loss=0.02,
-        engine_count=engines,
-        sound_per_s=sound_per_s,
-        culprit_per_s=culprit_per_s,
-        culprit_from_s=CULPRIT_FROM_S,
-        **options,
-    )
-    fleet.introduce_all()
+    fleet = build_fleet(site, seed=seed, loss=0.02, **options)
     fleet.run(RESTART_S)
     for entry_id in list(fleet.entries):
         fleet.restart([entry_id])
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -397,6 +397,28 @@
                 self.assertFalse(responder.is_done)
                 self.assertEqual(requests.outcomes, {("broken_off", 200): 1})
 
+    # ORDER, MIXED: text that an upstream wrote where an event was due reached the caller.
+    def test_text_that_is_no_event_breaks_a_stream_and_is_not_forwarded(self):
+        head = b"HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed\n\n"
+        for text in (b'{"error": "x"}\n\n', b"upstream failed\r\n\r\n", head):
+            with self.subTest(text):
+                good = self.stream(self.event(2), self.event(3))
+                for broken, body in (
+                    (self.stream(self.event(1), text), [1, 2, 3]),
+                    (self.stream(text), [2, 3]),
+                ):
+                    responder, _, _ = serve(
+                        RequestKind.STREAM, [broken, good], is_resumable=True, objective_s=0.0
+                    )
+                    self.assertEqual(responder.body, b"".join(map(self.event, body)))
+                    self.assertTrue(responder.is_done)
+
+    def test_events_of_any_field_and_comments_are_forwarded(self):
+        events = [b"data: x\n\n", b": wait\n\n", b"retry: 5\r\n\r\n", b"event: end\ndata\n\n"]
+        events += [b"version: 3\nid: 9\ndata: y\n\n", b"data: [DONE]\n\n", b"\n\n"]
+        responder, _, _ = serve(RequestKind.STREAM, [self.stream(*events)])
+        self.assertEqual((responder.body, responder.is_done), (b"".join(events), True))
+
     def test_stream_broken_before_first_event_restarts(self):
         first = self.stream(end=b"")
         responder, _, _ = serve(
