--- a/daisystack/testing/places.py
+++ b/daisystack/testing/places.py
@@ -242,6 +242,9 @@
         if self.play.changes_while_connecting:
             self.play.draw_change()
 
+    def check_silent(self) -> None:
+        """Find nothing before the request."""
+
     def send(self, method, target, headers, body) -> None:
         """Record the request as received."""
         self.is_sent = True
