Look for a reset behind the regular end of an answer without a length

Cause, traced in a copy that logged each end (30 requests): the kernel had taken the whole body, so the send did not fail; the upstream's host closed regularly and then reset, so the read returned the end, and the reset stood unread on the socket (3.87 MB not acknowledged, SO_ERROR 32). Ruled out: that the error of the send was lost, as the other 29 had it.

Change: the end of the connection ends such an answer only if the socket has no error and the whole request is acknowledged; else the attempt waits up to 0.4 s for one of the two. An upstream that closes its side and reads on is whole.

--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -17,7 +17,7 @@
 from daisystack.runtime.attempt_guard import AttemptGuard
 from daisystack.runtime.caller_http import Responder
 from daisystack.runtime.clock import now_s
-from daisystack.runtime.direct_http import MAX_BODY_BYTES, AnswerHead, DirectExchange
+from daisystack.runtime.direct_http import MAX_BODY_BYTES, DirectExchange
 from daisystack.runtime.upstream_http import AttemptFailed
 
 __all__ = ["AttemptResult", "AttemptRunner"]
@@ -142,8 +142,8 @@
         if answer.is_encoded or not answer.is_genuine:
             raise AttemptFailed(AttemptEnd.ANSWER_FOREIGN, "answer is not the upstream's own")
         if self.route.kind is RequestKind.STREAM and answer.is_stream and _is_success(answer):
-            return self._forward_stream(exchange, answer, _is_framed(head))
-        return self._forward_buffered(exchange, answer, _is_framed(head))
+            return self._forward_stream(exchange, answer, head.is_framed)
+        return self._forward_buffered(exchange, answer, head.is_framed)
 
     def _forward_buffered(
         self, exchange: DirectExchange, answer: DirectAnswer, is_framed: bool
@@ -245,10 +245,5 @@
         return event.number <= self._last_event_number
 
 
-def _is_framed(head: AnswerHead) -> bool:
-    """Return whether an answer has a length or chunks, so that its end is part of it."""
-    return any(name in (b"content-length", b"transfer-encoding") for name, _ in head.headers)
-
-
 def _is_success(answer: DirectAnswer) -> bool:
     return 200 <= answer.status < 300
--- a/daisystack/runtime/direct_http.py
+++ b/daisystack/runtime/direct_http.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
+import os
 import socket
+import struct
+import termios
 from collections.abc import Callable, Iterator
 
 import eventlet
@@ -32,11 +36,17 @@
 # Bytes that the upstream host leaves unacknowledged for this long count as lost.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 KEEPALIVE_INTERVAL_S = 1
+# An upstream that closes while its request is still being sent resets the connection within this
+# time, also from the farthest zone.
+RESET_WAIT_S = 0.4
+RESET_CHECK_INTERVAL_S = 0.005
 # Interval at which an exchange that waits for bytes checks whether to go on.
 WAIT_CHECK_INTERVAL_S = 0.2
 
 Headers = list[tuple[bytes, bytes]]
 
+_INT = struct.Struct("i")
+
 
 @frozen
 class AnswerHead:
@@ -45,6 +55,11 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the response has a length or chunks, so that its end is part of it."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
 
 @define(eq=False)
 class DirectExchange:
@@ -62,6 +77,8 @@
     was_reset: bool = False
     # The error that ended the sending; the socket reports it once only.
     _send_error: OSError | None = None
+    # False if only the end of the connection ends the response.
+    _is_framed: bool = True
     _sock: socket.socket | None = None
     _check_due_s: float = float("-inf")
     _turn: Turn = field(factory=Turn)
@@ -118,7 +135,9 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = self._next_event(AttemptEnd.NO_ANSWER)
             if isinstance(event, h11.Response):
-                return AnswerHead(event.status_code, tuple(event.headers))
+                head = AnswerHead(event.status_code, tuple(event.headers))
+                self._is_framed = head.is_framed
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise AttemptFailed(AttemptEnd.NO_ANSWER, "closed without an answer")
         raise AttemptFailed(
@@ -162,11 +181,37 @@
                 self.was_reset = True
                 raise AttemptFailed(end, str(error)) from error
             self.was_reset = self.was_reset or not data
-            if not data and self._send_error is not None:
-                # For an answer without a length this would be its regular end.
-                raise AttemptFailed(end, str(self._send_error))
+            if not data and not self._is_framed:
+                self._check_end(end)
             self._http.receive_data(data)
 
+    def _check_end(self, end: AttemptEnd) -> None:
+        """Raise AttemptFailed if the end of the connection isn't that of the response.
+
+        An upstream that crashes or resets the connection may close it regularly first, so that the
+        reset shows only in what can't be sent any more.
+        """
+        error = self._send_error or self._pending_error()
+        until_s = min(self.deadline_s, now_s() + RESET_WAIT_S)
+        while error is None and self._unacknowledged_bytes():
+            if now_s() >= until_s:
+                raise AttemptFailed(end, "closed before the whole request arrived")
+            eventlet.sleep(RESET_CHECK_INTERVAL_S)
+            error = self._pending_error()
+        if error is not None:
+            self.was_reset = True
+            raise AttemptFailed(end, str(error))
+
+    def _pending_error(self) -> OSError | None:
+        """Return the error that the connection has met and not reported yet."""
+        number = self._sock.fd.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return OSError(number, os.strerror(number)) if number else None
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return how many sent bytes the upstream's host has not acknowledged."""
+        count = fcntl.ioctl(self._sock.fd.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        return _INT.unpack(count)[0]
+
     def _wait_for_bytes(self) -> bytes:
         while True:
             wait_s = self._check_time()
--- a/daisystack/tests/test_unframed_answers.py
+++ b/daisystack/tests/test_unframed_answers.py
@@ -1,5 +1,7 @@
 """Test answers that have neither a length nor chunks and end with their connection."""
 
+import itertools
+import socket
 import unittest
 
 import eventlet
@@ -17,8 +19,9 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\nDaisystack-Mark: m\r\nDaisystack-Version: 3\r\n\r\n"
 STREAM = HEAD % b"text/event-stream"
-# More than the sockets' buffers hold, so that it is still being sent when the answer begins.
+# Still being sent when the answer begins: by the entry, or by its kernel alone.
 LONG_BODY = b"x" * 4_000_000 + b"last"
+MIDDLE_BODY = b"x" * 1_000_000 + b"last"
 FIRST, SECOND = b"id: 1\ndata: x\n\n", b"id: 2\ndata: y\n\n"
 
 
@@ -35,14 +38,19 @@
     return run
 
 
-def answer_early(*pieces, reads_on=False):
-    """Return a script that answers before it has read a long body, and reads on or is reset."""
+def answer_early(*pieces, reads_on=False, closes_first=False):
+    """Return a script that answers before it has read a long body, and reads on or is reset.
+
+    With closes_first it closes its side regularly before that.
+    """
 
     def run(sock):
         sock.recv(1000)
         for piece in pieces:
             sock.sendall(piece)
             eventlet.sleep(0.01)
+        if closes_first:
+            sock.shutdown(socket.SHUT_WR)
         while reads_on and not sock.recv(1_000_000).endswith(LONG_BODY[-4:]):
             pass
         if not reads_on:
@@ -113,16 +121,14 @@
     # it passed for the end of the answer.
     def test_an_answer_cut_by_a_reset_while_the_body_is_sent_is_not_whole(self):
         head = HEAD % b"application/json"
-        for kind, expected in ((RequestKind.SAFE, "answered"), (RequestKind.UNSAFE, "answer_cut")):
-            with self.subTest(kind):
-                whole = answer_early(head, b"good", reads_on=True)
-                responder, ends = serve(
-                    answer_early(head, b"go"),
-                    whole,
-                    kind=kind,
-                    is_resumable=False,
-                    body=LONG_BODY,
-                )
+        kinds = ((RequestKind.SAFE, "answered"), (RequestKind.UNSAFE, "answer_cut"))
+        for (kind, expected), body, closes_first in itertools.product(
+            kinds, (LONG_BODY, MIDDLE_BODY), (False, True)
+        ):
+            with self.subTest(kind, size_bytes=len(body), closes_first=closes_first):
+                whole = answer_early(head, b"good", reads_on=True, closes_first=closes_first)
+                cut = answer_early(head, b"go", closes_first=closes_first)
+                responder, ends = serve(cut, whole, kind=kind, is_resumable=False, body=body)
                 self.assertEqual(ends[0], "answer_cut")
                 self.assertEqual(ends[-1], expected)
                 self.assertEqual(responder.body == b"good", expected == "answered")
