--- a/daisystack/core/event_stream.py
+++ b/daisystack/core/event_stream.py
@@ -13,7 +13,7 @@
 
 _EVENT_DELIMITER = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 # A field of an event, or a comment; receivers ignore all other lines.
-_KNOWN_LINE = re.compile(rb"^(?:(?:data|event|id|retry)(?:[:\r\n])|:)", re.MULTILINE)
+_KNOWN_LINE = re.compile(rb"(?:^(?:\xef\xbb\xbf)?|[\r\n])(?:(?:data|event|id|retry)[:\r\n]|:)")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 # Bytes of a delimiter that may have arrived without its end.
 _PARTIAL_DELIMITER_BYTES = 3
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -416,6 +416,7 @@
     def test_events_of_any_field_and_comments_are_forwarded(self):
         events = [b"data: x\n\n", b": wait\n\n", b"retry: 5\r\n\r\n", b"event: end\ndata\n\n"]
         events += [b"version: 3\nid: 9\ndata: y\n\n", b"data: [DONE]\n\n", b"\n\n"]
+        events += [b"version: 3\rid: 10\rdata: y\r\r", b"\xef\xbb\xbfdata: z\n\n"]
         responder, _, _ = serve(RequestKind.STREAM, [self.stream(*events)])
         self.assertEqual((responder.body, responder.is_done), (b"".join(events), True))
 
