Let the relay test wait until its entries may send retries

Cause: the test wants a request to crash two runners, the second by a retry, and an entry sends no retry in its first second (COUNT_SETTLED_S). Both entries have answered when the runners are published, so that a wait of just that time from there on is enough. No check is changed: both runners must end, the request must be held at the other entry, and neither runner may end again.

--- a/daisystack/tests/test_platform_relay.py
+++ b/daisystack/tests/test_platform_relay.py
@@ -8,6 +8,7 @@
 import unittest
 from pathlib import Path
 
+from daisystack.core.retries import COUNT_SETTLED_S
 from daisystack.tests.on_platform.site import HOST, PlatformSite
 
 # Ports of runners that are separate processes, relative to the site's base port.
@@ -57,6 +58,9 @@
     def test_a_request_that_crashed_upstreams_at_one_entry_is_held_at_the_other(self):
         site = self.start()
         names = self.publish_runners(site)
+        # Both entries have answered by now. One that has just started sends no retry, and without a
+        # retry the request crashes one runner only.
+        time.sleep(COUNT_SETTLED_S)
         self.assertIn(site.call(0, "GET", "/risk/crash").status, (502, 504))
         # A crashing process closes its connections shortly before the system reports its end.
         site.wait_for(lambda: not any(site.processes.by_name[n].is_running() for n in names))
