Fail reads of the store that would leave out keys which it still holds

Callers could have seen: upstreams or a configuration taken out of use though the store holds them, after a read in which the store's answer had a number that is no revision, or a whole page of keys that are no text.

Cause: left out every item of an answer that could not be read, and an empty rest of a page also ended the read as complete. A full read states what does not exist any more, so what is left out counts as deleted. Before one unreadable key failed all reads for good.

Change: only keys that are no text are left out, as no other entry can be one of them. Any other invalid item fails the read, which is repeated; so does a page without a readable key that is not the last.

--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -47,6 +47,27 @@
         snapshot = self.read(self.page([broken, self.item("op/b", 4)], 5))
         self.assertEqual([c.value for c in snapshot.changes], [b"", b"v"])
 
+    # LOST: keys after one that is no text stayed unknown for good.
+    def test_a_key_that_is_no_text_keeps_no_other_away(self):
+        odd = self.item("op/\ud800", 3)
+        snapshot = self.read(
+            self.page([odd, self.item("op/b", 4), odd], 5, more=True),
+            self.page([odd, self.item("op/c", 4)], 5),
+        )
+        self.assertEqual([change.key for change in snapshot.changes], ["op/b", "op/c"])
+
+    # A read that left out keys which the store still holds counted as complete: they were deleted.
+    def test_a_read_that_lacks_keys_is_no_snapshot(self):
+        odd, sound = self.item("op/\ud800", 3), self.item("op/c", 4)
+        cases = {
+            "no readable key and more pages": ([odd], True),
+            "a number that is no revision": ([self.item("op/b", 2**63), sound], False),
+            "a negative revision": ([self.item("op/b", -1), sound], False),
+        }
+        for name, (items, more) in cases.items():
+            with self.subTest(name), self.assertRaises(BackendError):
+                self.read(self.page(items, 5, more), self.page([sound], 5))
+
     def test_any_other_response_is_an_error(self):
         cases = {
             "busy": send_and_close(build_answer(b"", "503 Service Unavailable")),
