--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -143,6 +143,14 @@
             self.items[key] = (self.revision, value)
             self.changed.notify_all()
 
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        with self.changed:
+            self.revision += 1
+            if self.items.pop(key, None) is not None:
+                self.deleted[key] = self.revision
+            self.changed.notify_all()
+
     def copy(self):
         """Return a copy to come back from later."""
         with self.changed:
