Check staged pieces again if the process stood still before the order

Cause: the agent reads all staged pieces back, finds them right, and orders the load however much later; a machine that stands still between the two orders what became corrupt meanwhile.

Ruled out: a check that reads no pieces, or copies. The existing test for a piece that is corrupt before the order passes, but could not fail, as its 13th read never came; it corrupts the piece at the first read of the last check now, and passes before and after.

Change: the order must leave within 2 s of the first read of the check; an engine may load what became corrupt up to 3 s before. The limit goes with the order, whose body is sent only after a look at the clock once the connection is open. Later, the pieces are checked again (order_postponed with check_age_s).

Left: a standstill between the look at the clock and the send itself.

--- a/daisystack/backends/base.py
+++ b/daisystack/backends/base.py
@@ -204,8 +204,10 @@
     def stage(self, model: str, index: int, body: bytes) -> None:
         """Stage a piece, replacing the one at its index; raise BackendError."""
 
-    def order_load(self, model: str, version: int, order_count: int) -> OrderAnswer:
-        """Order a load of the staged pieces; raise BackendError.
+    def order_load(
+        self, model: str, version: int, order_count: int, send_by_s: float
+    ) -> OrderAnswer:
+        """Order a load of the staged pieces; raise BackendError, also after send_by_s.
 
         The engine refuses unless it has begun exactly order_count orders so far.
         """
--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 
 import eventlet
 import eventlet.patcher
@@ -11,6 +12,7 @@
 
 from daisystack.backends.base import BackendError
 from daisystack.backends.connections import YieldingConnection
+from daisystack.runtime.clock import now_s
 
 __all__ = ["HttpResponse", "HttpEndpoint"]
 
@@ -70,14 +72,19 @@
         max_bytes: int = MAX_RESPONSE_BYTES,
         headers: dict[str, str] | None = None,
         call_timeout_s: float | None = None,
+        send_by_s: float | None = None,
     ) -> HttpResponse:
         """Return a complete response; raise BackendError on any failure or if it is too large.
 
-        read_timeout_s limits each wait for bytes, call_timeout_s the whole call.
+        read_timeout_s limits each wait for bytes, call_timeout_s the whole call. A body is not sent
+        after send_by_s, so that the server does not act on the request.
         """
         if call_timeout_s is None:
             call_timeout_s = read_timeout_s + TRANSFER_TIMEOUT_S
         name = f"{method} {self.address}{path}"
+        if send_by_s is not None:
+            headers = (headers or {}) | {"Content-Length": str(len(body))}
+            body = _read_until(body, send_by_s, name)
         limit = eventlet.Timeout(call_timeout_s)
         try:
             response = self._open(method, path, body, headers, read_timeout_s)
@@ -100,7 +107,7 @@
         self,
         method: str,
         path: str,
-        body: bytes | None,
+        body: bytes | Iterator[bytes] | None,
         headers: dict[str, str] | None,
         read_timeout_s: float,
     ) -> urllib3.BaseHTTPResponse:
@@ -129,6 +136,14 @@
         return value
 
 
+def _read_until(body: bytes, send_by_s: float, name: str) -> Iterator[bytes]:
+    """Yield a body, which is read once the connection is open; raise BackendError if too late."""
+    late_s = now_s() - send_by_s
+    if late_s > 0:
+        raise BackendError(f"{name}: not sent, {late_s:.3f} s too late")
+    yield body
+
+
 def _read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes | None:
     """Return the body, or None if it exceeds the limit.
 
--- a/daisystack/runtime/events.py
+++ b/daisystack/runtime/events.py
@@ -26,6 +26,7 @@
     "DirectRequestEnded",
     "ExpiredVersionStarted",
     "OrderAnswered",
+    "OrderPostponed",
     "PartHeld",
     "PartReleased",
     "PeerHeard",
@@ -509,6 +510,15 @@
     took_s: float
 
 
+@frozen(eq=False, repr=False)
+class OrderPostponed:
+    """Staged pieces are verified again, as their check had become too old for an order."""
+
+    model: str
+    version: int
+    check_age_s: float
+
+
 @frozen(eq=False, repr=False)
 class SettingsReloaded:
     """Changed settings are in force."""
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -32,6 +32,7 @@
     DependencyRegained,
     OrderAnswered,
     WeightsAbandoned,
+    OrderPostponed,
     WeightSourceFailed,
     WeightsStaged,
 )
@@ -71,6 +72,9 @@
 # An engine that accepted an order reports it within this time.
 ORDER_REPORT_DELAY_S = 0.3
 
+# Longest time from the first read of the last check to the order. An engine may load a piece that
+# became corrupt up to 3 s before, and the order must still reach it.
+MAX_CHECK_AGE_S = 2.0
 _logger = logging.getLogger("daisystack.agent")
 
 
@@ -461,11 +465,18 @@
         self.orders += 1
         self._ordered = OrderedLoad(pieces.version, state.started_ms, state.order_count)
         try:
-            answer = self.engine.order_load(pieces.model, pieces.version, state.order_count)
+            answer = self.engine.order_load(
+                pieces.model, pieces.version, state.order_count, send_by_s
+            )
             reason = answer.reason
         except BackendError as error:
             reason = f"no answer: {error}"
         before = state.version
+        # This process may have stood still since, and pieces that it read became corrupt.
+        send_by_s = at_s + MAX_CHECK_AGE_S
+        if now_s() > send_by_s:
+            log_event(_logger, OrderPostponed(pieces.model, pieces.version, now_s() - at_s))
+            return
         log_event(
             _logger, OrderAnswered(pieces.model, before, pieces.version, reason, now_s() - at_s)
         )
--- a/daisystack/testing/rollout_fleet.py
+++ b/daisystack/testing/rollout_fleet.py
@@ -119,7 +119,9 @@
         """Stage a piece in place of the one at its index."""
         self.pieces[index] = body
 
-    def order_load(self, model: str, version: int, order_count: int) -> OrderAnswer:
+    def order_load(
+        self, model: str, version: int, order_count: int, send_by_s: float
+    ) -> OrderAnswer:
         """Begin to load what is staged now, unless another load is in progress."""
         if self.is_busy or order_count != self.order_count:
             return OrderAnswer(False, "busy")
--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -8,6 +8,7 @@
 from daisystack.core.direct_request import InvalidRequest
 from daisystack.testing.direct import build_upstream
 from daisystack.testing.scripted import ScriptedServer, build_answer, send_and_close, stall
+from daisystack.runtime.clock import now_s
 from daisystack.tests.on_platform.adapter import (
     SERVER,
     HeaderDialect,
@@ -18,6 +19,8 @@
 
 
 class TestStore(unittest.TestCase):
+READ_BYTES = 65_536
+
     def item(self, key, revision, value=b"v"):
         encoded = base64.b64encode(value).decode()
         return {"key": key, "value": encoded, "revision": revision, "created_rev": 1, "lease": 0}
@@ -279,6 +282,9 @@
         )
         self.assertEqual((state.version, state.order_count, state.running), (3, 2, 12))
         self.assertEqual(state.slowdown, 3.5)
+    def order(self, runner, send_by_s=float("inf")):
+        return runner.order_load("m", 2, 4, send_by_s)
+
 
     def test_an_invalid_report_is_an_error(self):
         for body in (b"", b"[]", b'{"seq": "2"}', b'{"seq": 2, "busy": 1}'):
@@ -295,14 +301,25 @@
             ("421 Misdirected Request", False),
         ]:
             with self.subTest(status):
-                response = self.call(
-                    send_and_close(build_answer(b"", status)), lambda r: r.order_load("m", 2, 4)
-                )
+                response = self.call(send_and_close(build_answer(b"", status)), self.order)
                 self.assertEqual(response.accepted, accepted)
 
     def test_an_order_without_a_response_is_an_error(self):
         with self.assertRaises(BackendError):
-            self.call(send_and_close(b""), lambda r: r.order_load("m", 2, 4))
+            self.call(send_and_close(b""), self.order)
+
+    # WHOLE: the connection may have opened long after the pieces were checked.
+    def test_an_order_whose_time_has_passed_is_not_sent(self):
+        received = []
+
+        def read_all(sock):
+            while data := sock.recv(READ_BYTES):
+                received.append(data)
+
+        with self.assertRaises(BackendError):
+            self.call(read_all, lambda r: self.order(r, now_s() - 0.01))
+        eventlet.sleep(0.05)
+        self.assertNotIn(b"start", b"".join(received))
 
     def test_a_missing_piece_is_none(self):
         script = send_and_close(build_answer(b"", "404 Not Found"))
--- a/daisystack/tests/test_weight_agent.py
+++ b/daisystack/tests/test_weight_agent.py
@@ -13,6 +13,7 @@
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.targets import LONG_AGO_S, Targets, WeightTarget
 from daisystack.core.weight_pieces import EngineState, PieceList
+from daisystack.runtime import weight_agent
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.mesh_handler import MeshHandler
 from daisystack.runtime.mesh_task import MeshTask
@@ -24,6 +25,7 @@
 
 VERSION_BOUND_S = 8.0
 PIECES = 6
+STANDSTILL_S = 4.0
 
 
 def piece_body(version, index):
@@ -72,6 +74,7 @@
     pieces: dict = field(factory=dict)
     loaded: list = field(factory=list)
     on_read: object = None
+    send_by_s: float = 0.0
 
     def state(self):
         return EngineState("m", self.version, False, self.order_count, 0, 0, self.started_ms)
@@ -87,7 +90,8 @@
     def stage(self, model, index, body):
         self.pieces[index] = body
 
-    def order_load(self, model, version, order_count):
+    def order_load(self, model, version, order_count, send_by_s):
+        self.send_by_s = send_by_s
         if order_count != self.order_count:
             return OrderAnswer(False, "another order came")
         self.order_count += 1
@@ -192,12 +196,41 @@
 
         def corrupt_piece(index):
             reads.append(index)
-            if len(reads) == 2 * PIECES + 1:
+            # The first read of the check before the order, which follows the one after the pulls.
+            if len(reads) == PIECES + 1:
                 engine.pieces[3] = b"rotten"
 
         engine.on_read = corrupt_piece
         Site(engine).run()
         self.assert_complete_loads(engine, 2)
+        self.assertGreater(len(reads), 2 * PIECES)
+
+    # WHOLE: an agent that stood still during the check before an order loaded a piece that it had
+    # read and that became corrupt meanwhile.
+    def test_pieces_are_checked_again_after_a_standstill(self):
+        for at_read in range(PIECES + 1, 2 * PIECES + 1):
+            with self.subTest(at_read=at_read):
+                engine, reads = FakeEngine(), []
+
+                def stand_still(index, engine=engine, reads=reads, at_read=at_read):
+                    reads.append(index)
+                    if len(reads) == at_read:
+                        engine.pieces[0] = b"rotten"
+
+                def read_clock(reads=reads, at_read=at_read):
+                    return now_s() + (STANDSTILL_S if len(reads) >= at_read else 0.0)
+
+                engine.on_read = stand_still
+                with mock.patch.object(weight_agent, "now_s", read_clock):
+                    Site(engine).run()
+                self.assert_complete_loads(engine, 2)
+
+    # WHOLE: the same, when it stood still after the check, until the order was to be sent.
+    def test_an_order_has_a_time_limit_from_the_first_read(self):
+        engine, started_s = FakeEngine(), now_s()
+        Site(engine).run()
+        self.assertLess(started_s, engine.send_by_s - weight_agent.MAX_CHECK_AGE_S)
+        self.assertLess(engine.send_by_s - weight_agent.MAX_CHECK_AGE_S, now_s())
 
     def test_order_with_lost_answer_is_not_repeated(self):
         engine = FakeEngine(lost_answers=1)
