Let no key through where a configuration has an empty list of tenants

Cause: the reader took an empty list of tenants for an absent one, and the check of a key lets requests through where there is no list.

Ruled out: a refused configuration, by which the unknown key would have got 401.

Change: TrafficPolicy.requires_keys says whether there is a list, and is true unless a reader says otherwise. Without the list no keys are needed, as the platform's page has it; check_config.py warns of that, calls a list on which nobody holds a key an error, and names the change.

--- a/daisystack/core/policy_check/differences.py
+++ b/daisystack/core/policy_check/differences.py
@@ -27,6 +27,9 @@
     found = [*_compare_versions(before, after)]
     for entries in (_routes, _services, _workspaces):
         found += _compare_entries(entries(before), entries(after))
+    if before.requires_keys != after.requires_keys:
+        detail = "requests need keys" if after.requires_keys else "requests need no key any more"
+        found.append(Difference("changed", "workspaces", detail))
     return [*found, *_compare_pair("limits", before.limits, after.limits)]
 
 
--- a/daisystack/core/policy_check/findings.py
+++ b/daisystack/core/policy_check/findings.py
@@ -137,6 +137,10 @@
     """Yield workspaces whose requests are refused, and keys that are held twice."""
     holders = Counter(key for workspace in policy.workspaces for key in workspace.keys)
     needs_keys = any(not route.is_public for route in policy.routes)
+    if needs_keys and not policy.requires_keys:
+        yield _warning("workspaces", "there is no list of them, so that requests need no key")
+    elif needs_keys and not holders:
+        yield _error("workspaces", "none holds a key, so that only public routes serve requests")
     for workspace in policy.workspaces:
         location = f"workspace {workspace.name}"
         if not workspace.keys:
--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -146,6 +146,8 @@
     services: dict[str, Service]
     workspaces: tuple[Workspace, ...] = ()
     limits: CallerLimits = field(factory=CallerLimits)
+    # False if the policy has no list of workspaces. An empty list lets no key through.
+    requires_keys: bool = True
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route at a host with the longest prefix of the path, or None."""
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -248,7 +248,7 @@
     def _authorize(
         self, policy: TrafficPolicy, route: Route, request: DirectRequest
     ) -> Workspace | None:
-        if route.is_public or not policy.workspaces:
+        if route.is_public or not policy.requires_keys:
             return None
         workspace = policy.find_workspace(request.api_key or "")
         if workspace is None:
--- a/daisystack/testing/direct.py
+++ b/daisystack/testing/direct.py
@@ -185,11 +185,12 @@
     return Route(**(defaults | overrides))
 
 
-def build_policy(route: Route, workspaces: tuple[Workspace, ...] = ()) -> TrafficPolicy:
-    """Return a traffic policy with one route and the services that it names."""
+def build_policy(route: Route, workspaces: tuple[Workspace, ...] | None = None) -> TrafficPolicy:
+    """Return a policy with one route and its services; without workspaces it needs no keys."""
     names = [share.service for share in route.shares]
     services = {name: Service(name, 100) for name in names}
-    return TrafficPolicy(1, (route,), services, workspaces)
+    requires_keys = workspaces is not None
+    return TrafficPolicy(1, (route,), services, workspaces or (), requires_keys=requires_keys)
 
 
 def build_upstream(id="u1", address="127.0.0.1:1", **overrides) -> DirectUpstream:
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -80,7 +80,7 @@
             self.script(sock)
 
 
-def serve(kind, scripts, inbound=None, workspaces=(), age_s=0.0, held=None, **route):
+def serve(kind, scripts, inbound=None, workspaces=None, age_s=0.0, held=None, **route):
     """Send one request to upstreams tried in order.
 
     Return the responder, the number of requests at each upstream and the DirectRequests.
@@ -277,6 +277,23 @@
                     (responder.status, request_counts), (status, [1 if status == 200 else 0])
                 )
 
+    # CONFIG: a policy whose last workspace had been taken out let every key through.
+    def test_an_empty_list_of_workspaces_lets_no_key_through(self):
+        nobody = Workspace("nobody", frozenset())
+        for workspaces, is_public, status in [
+            ((), False, 401),
+            ((nobody,), False, 401),
+            ((), True, 200),
+            (None, False, 200),
+        ]:
+            for key in ("k1", "never held", None):
+                with self.subTest(workspaces=workspaces, is_public=is_public, key=key):
+                    inbound = build_inbound(**({"daisystack_key": key} if key else {}))
+                    responder, counts, _ = serve(
+                        RequestKind.UNSAFE, [GOOD], inbound, workspaces, is_public=is_public
+                    )
+                    self.assertEqual((responder.status, sum(counts)), (status, status == 200))
+
     def test_key_is_refused_when_last_confirmation_is_too_old(self):
         for age_s, status in [(4.0, 200), (4.5, 503), (100.0, 503)]:
             with self.subTest(age_s):
--- a/daisystack/tests/test_platform_documents.py
+++ b/daisystack/tests/test_platform_documents.py
@@ -14,6 +14,10 @@
 )
 
 
+def _without(name):
+    return {key: value for key, value in CONFIG.items() if key != name}
+
+
 class TestConfiguration(unittest.TestCase):
     def test_configuration_is_decoded(self):
         policy = read_publication("op/config", CONFIG)
@@ -47,6 +51,14 @@
     def test_a_version_key_is_decoded_as_a_target(self):
         self.assertEqual(
             read_publication("op/version/m", {"model": "m", "version": 2}), WeightTarget("m", 2)
+    # CONFIG: an empty list of tenants was read as none, which lets every request through.
+    def test_only_a_configuration_without_tenants_needs_no_keys(self):
+        absent = _without("tenants")
+        for config, requires_keys in [(absent, False), (absent | {"tenants": []}, True)]:
+            with self.subTest(requires_keys=requires_keys):
+                policy = read_publication("op/config", config)
+                self.assertEqual(policy.requires_keys, requires_keys)
+
         )
 
     def test_a_key_alone_orders_an_evacuation(self):
--- a/daisystack/tests/test_policy_check.py
+++ b/daisystack/tests/test_policy_check.py
@@ -68,6 +68,12 @@
         "shares 1 of its keys",
     ),
     "no key": (change_workspaces(Workspace("a", frozenset())), "warning", "holds no key"),
+    "no workspace": (change_workspaces(), "error", "none holds a key"),
+    "no list of workspaces": (
+        attrs.evolve(change_workspaces(), requires_keys=False),
+        "warning",
+        "requests need no key",
+    ),
     "no common region": (
         attrs.evolve(
             change_route(**HOMES),
@@ -128,6 +134,8 @@
         self.assertEqual(found[("changed", "workspace w")], "keys: 1 added, 0 removed")
         self.assertIn(("added", "service new"), found)
         self.assertIn(("removed", "workspace v"), found)
+        opened = compare_policies(GOOD, attrs.evolve(GOOD, requires_keys=False))
+        self.assertIn("requests need no key any more", [d.detail for d in opened])
         self.assertIn("no effect", compare_policies(after, GOOD)[0].detail)
 
     @settings(max_examples=50, deadline=None)
