Do not take a request without a key for one with an empty key

A tenant whose list of keys has an empty one got every request that carries none. test_a_request_without_a_key_is_not_of_the_workspace_with_ an_empty_one guards it: the absent key was replaced by the empty text before it was looked up.

--- a/daisystack/core/homes.py
+++ b/daisystack/core/homes.py
@@ -41,7 +41,7 @@
     hold if it has no other.
     """
     route = policy.find_route(host, path) or route
-    workspace = None if route.is_public else policy.find_workspace(api_key or "")
+    workspace = None if route.is_public else policy.find_workspace(api_key)
     return _intersect(_homes_of((route, *([workspace] if workspace else []))))
 
 
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -250,7 +250,7 @@
     ) -> Workspace | None:
         if route.is_public or not policy.requires_keys:
             return None
-        workspace = policy.find_workspace(request.api_key or "")
+        workspace = policy.find_workspace(request.api_key)
         if workspace is None:
             raise LocalAnswer(401, "no workspace holds this key")
         age_s = self.operator_mirror.age_s(now_s())
--- a/daisystack/tests/test_direct_requests.py
+++ b/daisystack/tests/test_direct_requests.py
@@ -294,6 +294,14 @@
                     )
                     self.assertEqual((responder.status, sum(counts)), (status, status == 200))
 
+    # A request without a key passed for one that carries an empty key.
+    def test_a_request_without_a_key_is_not_of_the_workspace_with_an_empty_one(self):
+        workspaces = (Workspace("odd", frozenset({""})),)
+        responder, _, _ = serve(
+            RequestKind.UNSAFE, [GOOD], build_inbound(), workspaces, is_public=False
+        )
+        self.assertEqual(responder.status, 401)
+
     def test_key_is_refused_when_last_confirmation_is_too_old(self):
         for age_s, status in [(4.0, 200), (4.5, 503), (100.0, 503)]:
             with self.subTest(age_s):
