Refuse a read without a list of keys and a configuration without routes

An answer of the store without its list of keys counted as a complete read of a store without keys, by which all upstreams, routes and versions go; a configuration without routes or services counted as one that has none, so that each request gets 404.

An empty list stays what it says.

--- a/daisystack/tests/test_platform_documents.py
+++ b/daisystack/tests/test_platform_documents.py
@@ -43,14 +43,14 @@
             (b"\xff\xfe", "invalid JSON"),
             ({"version": "7"}, "version"),
             (invalid, r"routes[1].kind"),
+            # An absent list is not an empty one, by which nothing would be served.
+            (_without("routes"), "routes"),
+            (_without("services"), "services"),
         ]:
             with self.subTest(expected), self.assertRaises(InvalidPublication) as caught:
                 read_publication("op/config", value)
             self.assertIn(expected, str(caught.exception))
 
-    def test_a_version_key_is_decoded_as_a_target(self):
-        self.assertEqual(
-            read_publication("op/version/m", {"model": "m", "version": 2}), WeightTarget("m", 2)
     # CONFIG: an empty list of tenants was read as none, which lets every request through.
     def test_only_a_configuration_without_tenants_needs_no_keys(self):
         absent = _without("tenants")
@@ -59,6 +59,9 @@
                 policy = read_publication("op/config", config)
                 self.assertEqual(policy.requires_keys, requires_keys)
 
+    def test_a_version_key_is_decoded_as_a_target(self):
+        self.assertEqual(
+            read_publication("op/version/m", {"model": "m", "version": 2}), WeightTarget("m", 2)
         )
 
     def test_a_key_alone_orders_an_evacuation(self):
--- a/daisystack/tests/test_platform_wire.py
+++ b/daisystack/tests/test_platform_wire.py
@@ -4,11 +4,13 @@
 import json
 import unittest
 
+import eventlet
+
 from daisystack.backends import BackendError, VersionWithdrawn
 from daisystack.core.direct_request import InvalidRequest
+from daisystack.runtime.clock import now_s
 from daisystack.testing.direct import build_upstream
 from daisystack.testing.scripted import ScriptedServer, build_answer, send_and_close, stall
-from daisystack.runtime.clock import now_s
 from daisystack.tests.on_platform.adapter import (
     SERVER,
     HeaderDialect,
@@ -17,10 +19,10 @@
     Runner,
 )
 
-
-class TestStore(unittest.TestCase):
 READ_BYTES = 65_536
 
+
+class TestStore(unittest.TestCase):
     def item(self, key, revision, value=b"v"):
         encoded = base64.b64encode(value).decode()
         return {"key": key, "value": encoded, "revision": revision, "created_rev": 1, "lease": 0}
@@ -71,6 +73,12 @@
             with self.subTest(name), self.assertRaises(BackendError):
                 self.read(self.page(items, 5, more), self.page([sound], 5))
 
+    # An answer without a list of keys was read as an empty one: all keys were deleted.
+    def test_a_read_without_a_list_of_keys_is_no_snapshot(self):
+        with self.assertRaises(BackendError):
+            self.read(send_and_close(build_answer(b'{"as_of": 5, "more_pages": false}')))
+        self.assertEqual(self.read(self.page([], 5)).changes, ())
+
     def test_any_other_response_is_an_error(self):
         cases = {
             "busy": send_and_close(build_answer(b"", "503 Service Unavailable")),
@@ -274,6 +282,9 @@
         finally:
             server.close()
 
+    def order(self, runner, send_by_s=float("inf")):
+        return runner.order_load("m", 2, 4, send_by_s)
+
     def test_a_report_is_decoded(self):
         report = {"models": SERVER["models"], "layers": SERVER["layers"], "busy": False, "seq": 2}
         report |= {"running": 12, "queued": 1, "born": 5, "pace": 3.5}
@@ -282,9 +293,6 @@
         )
         self.assertEqual((state.version, state.order_count, state.running), (3, 2, 12))
         self.assertEqual(state.slowdown, 3.5)
-    def order(self, runner, send_by_s=float("inf")):
-        return runner.order_load("m", 2, 4, send_by_s)
-
 
     def test_an_invalid_report_is_an_error(self):
         for body in (b"", b"[]", b'{"seq": "2"}', b'{"seq": 2, "busy": 1}'):
