--- a/daisystack/core/traffic.py
+++ b/daisystack/core/traffic.py
@@ -165,8 +165,8 @@
         """Return the routes of a host."""
         return self._by_host.get(host, {}).values()
 
-    def find_workspace(self, api_key: str) -> Workspace | None:
-        """Return the workspace that holds an API key, or None."""
+    def find_workspace(self, api_key: str | None) -> Workspace | None:
+        """Return the workspace that holds an API key, or None; no workspace holds None."""
         return self._by_key.get(api_key)
 
     def origins(self) -> list[Service]:
@@ -186,7 +186,7 @@
         return found
 
     @cached_property
-    def _by_key(self) -> dict[str, Workspace]:
+    def _by_key(self) -> dict[str | None, Workspace]:
         return dict(_keys(self.workspaces))
 
 
