Bound the heads and trailers of answers as a whole

Ruled out: direct requests, whose parser bounds a head as a whole.

Change: the lines since the last part of a body are bounded together, to 64 KiB, for heads with their interim responses and for trailers.

--- a/daisystack/backends/connections.py
+++ b/daisystack/backends/connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections that hold up nobody else, whatever their server sends."""
+"""HTTP connections that bound the lines of answers and hold up nobody else."""
 
 from __future__ import annotations
 
@@ -12,25 +12,29 @@
 
 from daisystack.runtime.turns import YieldingSocket
 
-__all__ = ["YieldingConnection"]
+__all__ = ["MAX_LINES_BYTES", "YieldingConnection"]
 
 # A server that goes on sending them never answers.
 MAX_INTERIM_RESPONSES = 8
 CONTINUE, SWITCHING_PROTOCOLS, OK = 100, 101, 200
+# Heads with their interim responses, and trailers; the base class allows 6 MB for each of them.
+MAX_LINES_BYTES = 65_536
 
 
 @define(eq=False)
 class _LineReader:
-    """Reader of an answer whose lines end before the connection does."""
+    """Reader of an answer whose lines are bounded, and end before the connection does."""
 
     _stream: BinaryIO
     # Of the lines since the last part of a body.
     _lines_bytes: int = 0
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return a line; raise ProtocolError if it is cut."""
+        """Return a line; raise ProtocolError if it is cut, or all of them are too long."""
         line = self._stream.readline(limit)
         self._lines_bytes += len(line)
+        if self._lines_bytes > MAX_LINES_BYTES:
+            raise ProtocolError(f"head or trailer is over {MAX_LINES_BYTES} bytes")
         # The base class takes the end of the connection for the end of the head.
         if self._lines_bytes and not line.endswith(b"\n"):
             raise ProtocolError("closed within a head, a chunk's size or a trailer")
@@ -56,7 +60,7 @@
 
 
 class _Response(urllib3.connection.HTTPConnection.response_class):
-    """Response whose interim responses are bounded, and which ends where it says."""
+    """Response whose head and interim responses are bounded, and which ends where it says."""
 
     interim_count = 0
 
@@ -76,7 +80,7 @@
 
 
 class YieldingConnection(urllib3.connection.HTTPConnection):
-    """Connection that bounds interim responses and gives way while bytes keep arriving."""
+    """Connection that bounds heads and gives way while bytes keep arriving."""
 
     response_class = _Response
 
