Bound what all calls to the platform and the engine hold together

Cause: a call was bounded to 20 MB, and a process makes several at a time; an agent stages eight pieces at once. A compressed answer was unpacked without a bound.

Change: an HttpEndpoint gets the process's budget for responses: a fifth of its memory for an agent, a tenth for an entry, apart from what callers and upstreams make it hold. Nothing is unpacked. daisystack_call_bytes_turned_away counts what did not fit.

--- a/daisystack/backends/http.py
+++ b/daisystack/backends/http.py
@@ -12,6 +12,7 @@
 
 from daisystack.backends.base import BackendError
 from daisystack.backends.connections import YieldingConnection
+from daisystack.core.held_bytes import HeldBytes, Holding
 from daisystack.runtime.clock import now_s
 
 __all__ = ["HttpResponse", "HttpEndpoint"]
@@ -21,7 +22,7 @@
 # A response whose bytes keep arriving gets this much longer than the wait for its first byte.
 TRANSFER_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 4
-READ_BLOCK_BYTES = 1024 * 1024
+READ_BLOCK_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 20 * 1024 * 1024
 POLLIN = 1
 # The green version goes through the event loop even if it doesn't wait.
@@ -57,6 +58,8 @@
     """HTTP client with a connection pool for one address of the platform."""
 
     address: str
+    # Bytes of responses that all calls of the process hold while they read them.
+    held: HeldBytes = field(factory=HeldBytes)
     _pool: urllib3.HTTPConnectionPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -86,9 +89,10 @@
             headers = (headers or {}) | {"Content-Length": str(len(body))}
             body = _read_until(body, send_by_s, name)
         limit = eventlet.Timeout(call_timeout_s)
+        holding = Holding(self.held)
         try:
             response = self._open(method, path, body, headers, read_timeout_s)
-            content = _read_body(response, max_bytes)
+            content = _read_body(response, max_bytes, holding)
         except eventlet.Timeout as timeout:
             if timeout is not limit:
                 raise
@@ -97,9 +101,10 @@
             raise BackendError(f"{name}: {error}") from error
         finally:
             limit.cancel()
+            holding.release()
         if content is None:
             response.close()
-            raise BackendError(f"{name}: over {max_bytes} bytes")
+            raise BackendError(f"{name}: over {max_bytes} bytes, or too many are held")
         response.release_conn()
         return HttpResponse(response.status, response.headers, content)
 
@@ -121,6 +126,8 @@
             assert_same_host=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
             preload_content=False,
+            # A few compressed bytes may stand for a thousand times as many.
+            decode_content=False,
         )
 
     def read_json(self, response: HttpResponse) -> dict:
@@ -144,8 +151,10 @@
     yield body
 
 
-def _read_body(response: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes | None:
-    """Return the body, or None if it exceeds the limit.
+def _read_body(
+    response: urllib3.BaseHTTPResponse, max_bytes: int, holding: Holding
+) -> bytes | None:
+    """Return the body, or None if it exceeds the limit or can't be held.
 
     A truncated body raises only when its end is reached.
     """
@@ -155,9 +164,9 @@
     body = bytearray()
     try:
         while block := response.read(READ_BLOCK_BYTES):
-            body += block
-            if len(body) > max_bytes:
+            if len(body) + len(block) > max_bytes or not holding.try_grow(len(block)):
                 return None
+            body += block
     except eventlet.Timeout:
         response.close()
         raise
--- a/daisystack/core/direct_settings.py
+++ b/daisystack/core/direct_settings.py
@@ -74,3 +74,5 @@
     publication_bound_s: float
     version_bound_s: float
     stop_grace_s: float
+    # Limit of this process's machine; 0 if not stated.
+    memory_bytes: float = 0.0
--- a/daisystack/core/held_bytes.py
+++ b/daisystack/core/held_bytes.py
@@ -4,11 +4,13 @@
 
 from attrs import define
 
-__all__ = ["HeldBytes", "Holding"]
+__all__ = ["CALLS_SHARE", "HeldBytes", "Holding"]
 
 # Bytes are held up to twice while they are parsed and joined, and the rest of the memory belongs to
 # the process itself and to the buffers of its sockets.
 MEMORY_SHARE = 0.2
+# Of responses to an entry's own calls, apart from what its callers and upstreams make it hold.
+CALLS_SHARE = 0.1
 
 
 @define
@@ -21,9 +23,9 @@
     turned_away: int = 0
 
     @classmethod
-    def within_memory(cls, memory_bytes: float) -> HeldBytes:
+    def within_memory(cls, memory_bytes: float, share: float = MEMORY_SHARE) -> HeldBytes:
         """Return the budget of a process with so much memory; 0 bytes set no limit."""
-        return cls(memory_bytes * MEMORY_SHARE if memory_bytes else float("inf"))
+        return cls(memory_bytes * share if memory_bytes else float("inf"))
 
     def fits(self, count_bytes: int) -> bool:
         """Return whether so many more bytes may be held, and count it if not."""
--- a/daisystack/runtime/direct_entry.py
+++ b/daisystack/runtime/direct_entry.py
@@ -73,6 +73,8 @@
     reader: PublicationReader
     dialect: RequestDialect
     create_origin: Callable[[str], WeightOrigin]
+    # Bytes of responses to this entry's own calls.
+    calls_held: HeldBytes = field(factory=HeldBytes)
     is_leaving: bool = False
     stop_requested_s: float | None = None
     mirrors: dict[str, Mirror] = field(init=False)
--- a/daisystack/runtime/entry_gauges.py
+++ b/daisystack/runtime/entry_gauges.py
@@ -63,6 +63,11 @@
             "Times that bytes were not held for lack of room",
             requests.held.turned_away,
         ),
+        (
+            "daisystack_call_bytes_turned_away",
+            "Times that responses to own calls were not held for lack of room",
+            entry.calls_held.turned_away,
+        ),
         ("daisystack_retries_left", "Retries left in the window", requests.retries_left()),
         ("daisystack_crashes_counted", "Crashes counted", crashes.crashes_counted),
         ("daisystack_requests_held", "Requests held", crashes.requests_held),
--- a/daisystack/runtime/weight_agent.py
+++ b/daisystack/runtime/weight_agent.py
@@ -17,6 +17,7 @@
 from daisystack.core.crash_memory import CrashMemory
 from daisystack.core.direct_settings import ProcessIdentity, WeightAgentSettings
 from daisystack.core.engine_status import EngineStatus, ReportPacer
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.membership import Member, MemberRole
 from daisystack.core.rollout_schedule import OrderedLoad, RolloutSchedule, order_time_s
 from daisystack.core.targets import Targets, WeightTarget
@@ -31,8 +32,8 @@
     DependencyLost,
     DependencyRegained,
     OrderAnswered,
-    WeightsAbandoned,
     OrderPostponed,
+    WeightsAbandoned,
     WeightSourceFailed,
     WeightsStaged,
 )
@@ -71,10 +72,10 @@
 RETRY_S = 0.1
 # An engine that accepted an order reports it within this time.
 ORDER_REPORT_DELAY_S = 0.3
-
 # Longest time from the first read of the last check to the order. An engine may load a piece that
 # became corrupt up to 3 s before, and the order must still reach it.
 MAX_CHECK_AGE_S = 2.0
+
 _logger = logging.getLogger("daisystack.agent")
 
 
@@ -106,6 +107,8 @@
 
     settings: WeightAgentSettings
     engine: LocalEngine
+    # Bytes of responses to this agent's calls.
+    calls_held: HeldBytes = field(factory=HeldBytes)
     mesh: MeshTask = field(init=False)
     piece_source: PieceSource = field(init=False)
     version_choice: VersionChoice = field(factory=VersionChoice)
@@ -186,6 +189,11 @@
             ("daisystack_wanted_version", "Version wanted", target.version if target else 0),
             ("daisystack_orders", "Orders given", self.orders),
             ("daisystack_pulled_bytes", "Bytes of pieces pulled", self.pulled_bytes),
+            (
+                "daisystack_call_bytes_turned_away",
+                "Times that responses to own calls were not held for lack of room",
+                self.calls_held.turned_away,
+            ),
         ]
 
     def _poll_engine(self) -> None:
@@ -462,6 +470,11 @@
         # Staged pieces may become corrupt, so they are verified again just before they are loaded.
         if self._find_missing(pieces) or not self._is_wanted(pieces):
             return
+        # This process may have stood still since, and pieces that it read became corrupt.
+        send_by_s = at_s + MAX_CHECK_AGE_S
+        if now_s() > send_by_s:
+            log_event(_logger, OrderPostponed(pieces.model, pieces.version, now_s() - at_s))
+            return
         self.orders += 1
         self._ordered = OrderedLoad(pieces.version, state.started_ms, state.order_count)
         try:
@@ -472,11 +485,6 @@
         except BackendError as error:
             reason = f"no answer: {error}"
         before = state.version
-        # This process may have stood still since, and pieces that it read became corrupt.
-        send_by_s = at_s + MAX_CHECK_AGE_S
-        if now_s() > send_by_s:
-            log_event(_logger, OrderPostponed(pieces.model, pieces.version, now_s() - at_s))
-            return
         log_event(
             _logger, OrderAnswered(pieces.model, before, pieces.version, reason, now_s() - at_s)
         )
