Bound what the answers on the own interface hold together

Cause: entry and agent hold each answer whole up to 8 MB, and any number of them at a time.

Change: an answer counts against max_held_bytes (256 MB) from its first byte until the server has sent it on or can't; beyond that it is dropped and its attempt ends as cut, so that it may have run.

By reading, open: bodies of callers are bounded one by one on this interface (max_body_bytes).

--- a/daisystack/core/settings.py
+++ b/daisystack/core/settings.py
@@ -54,6 +54,7 @@
     max_queue: int = _setting("Requests that may wait for an upstream", 256)
     max_queue_wait_s: float = _setting("Longest time a request waits for an upstream", 0.3)
     retry_ratio: float = _setting("Retries that each request adds to the retry budget", 0.1)
+    max_held_bytes: int = _setting("Bytes of answers held in memory", 256_000_000)
 
 
 @frozen
@@ -76,6 +77,7 @@
     drain_s: float = _setting("Longest wait for running requests before a load", 30.0)
     progress_timeout_s: float = _setting("Longest time without progress within a response", 5.0)
     max_tickets: int = _setting("Tickets kept in memory", 20_000)
+    max_held_bytes: int = _setting("Bytes of answers held in memory", 256_000_000)
 
 
 def flag_name(name: str) -> str:
--- a/daisystack/runtime/agent.py
+++ b/daisystack/runtime/agent.py
@@ -13,6 +13,7 @@
 )
 from daisystack.core.chunk_store import ChunkStore
 from daisystack.core.config_keeper import AcceptedConfig
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.idempotency import IdempotencyTable, RecordState
 from daisystack.core.peers import PeerStatus
 from daisystack.core.readers import agent_neighbors
@@ -87,7 +88,12 @@
         return Forwarder(
             self.daemon,
             self.engine_task,
-            UpstreamClient(settings.upstream_address, settings.progress_timeout_s, False),
+            UpstreamClient(
+                settings.upstream_address,
+                settings.progress_timeout_s,
+                False,
+                HeldBytes(settings.max_held_bytes),
+            ),
             IdempotencyTable(
                 settings.id, self.daemon.incarnation, max_records=settings.max_tickets
             ),
--- a/daisystack/runtime/caller_responses.py
+++ b/daisystack/runtime/caller_responses.py
@@ -40,6 +40,7 @@
 def parse_reported_outcome(instance_id: str, end: str, answer: UpstreamAnswer) -> AttemptOutcome:
     """Return the outcome that an agent reports for an attempt without an answer."""
     body = answer.read_body(MAX_REPORT_BYTES)
+    answer.release()
     try:
         reason = json.loads(body).get("error", "")
         return AttemptOutcome(
--- a/daisystack/runtime/entry.py
+++ b/daisystack/runtime/entry.py
@@ -12,6 +12,7 @@
 from daisystack.core.audit import AuditAction
 from daisystack.core.config_keeper import AcceptedConfig
 from daisystack.core.entry_addresses import list_entry_addresses
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.peers import SUSPECT_AFTER_S, PeerStatus
 from daisystack.core.readers import entry_neighbors
 from daisystack.core.retries import RetryBudget
@@ -52,6 +53,7 @@
             self.daemon.heartbeats,
             lambda: self.daemon.document,
             settings.progress_timeout_s,
+            HeldBytes(settings.max_held_bytes),
         )
         retry_budget = RetryBudget(ratio=settings.retry_ratio)
         waiting_queues = WaitingQueues(settings.max_queue, settings.max_queue_wait_s)
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -229,7 +229,13 @@
             self.upstreams.record_answered(assignment)
             return _AttemptResult(
                 outcome,
-                Response(answer.status, complete_body, answer.content_type, response_headers),
+                Response(
+                    answer.status,
+                    complete_body,
+                    answer.content_type,
+                    response_headers,
+                    answer.release,
+                ),
             )
         data_iter = answer.iter_body()
         # Until the first data arrives, nothing has reached the caller and a retry is possible.
--- a/daisystack/runtime/forwarder.py
+++ b/daisystack/runtime/forwarder.py
@@ -166,13 +166,18 @@
             body = answer.read_body(self.settings.max_answer_bytes)
             self._check_weights(initial_report)
         except AttemptFailed as failure:
+            answer.release()
             return self._failure_response(attempt, failure, initial_report)
         finally:
             self._release(attempt)
         recorded = RecordedAnswer(answer.status, answer.content_type, body)
         self._record_answer(attempt, recorded)
         return Response(
-            recorded.status, body, recorded.content_type, self._answer_headers(attempt, answer)
+            recorded.status,
+            body,
+            recorded.content_type,
+            self._answer_headers(attempt, answer),
+            answer.release,
         )
 
     def _streamed_response(
--- a/daisystack/runtime/upstream_http.py
+++ b/daisystack/runtime/upstream_http.py
@@ -10,6 +10,7 @@
 from eventlet import hubs
 
 from daisystack.backends.connections import YieldingConnection
+from daisystack.core.held_bytes import HeldBytes, Holding
 from daisystack.core.verdicts import AttemptEnd
 from daisystack.runtime.clock import now_s
 from daisystack.runtime.turns import Turn
@@ -78,6 +79,7 @@
 
     _response: urllib3.BaseHTTPResponse
     _progress_timeout_s: float
+    _holding: Holding
     # A body that is needed whole ends by then, also while its bytes keep arriving.
     _body_deadline_s: float = float("inf")
 
@@ -101,7 +103,10 @@
         return self._response.headers.get(name)
 
     def read_body(self, max_bytes: int) -> bytes:
-        """Return the complete body; raise AttemptFailed if it is cut or over max_bytes."""
+        """Return the complete body; raise AttemptFailed if it is cut or over max_bytes.
+
+        The body counts as held until release or abandon is called.
+        """
         parts = []
         size_bytes = 0
         for data in self.iter_body():
@@ -109,6 +114,9 @@
             if size_bytes > max_bytes:
                 self.abandon()
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, f"answer is over {max_bytes} bytes")
+            if not self._holding.try_grow(len(data)):
+                self.abandon()
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "too many bytes are held")
             parts.append(data)
             if now_s() >= self._body_deadline_s:
                 self.abandon()
@@ -147,6 +155,11 @@
     def abandon(self) -> None:
         """Close the connection so that the rest of this answer can't reach another request."""
         self._response.close()
+        self.release()
+
+    def release(self) -> None:
+        """Give back the bytes that are held of the body, once it was passed on."""
+        self._holding.release()
 
     def _is_framed(self) -> bool:
         headers = self._response.headers
@@ -166,6 +179,8 @@
     progress_timeout_s: float
     # Without reuse a late answer can't be taken for the answer to another request.
     reuse_connections: bool = True
+    # Bytes of answers that the process holds.
+    held: HeldBytes = field(factory=HeldBytes)
     _pool: urllib3.HTTPConnectionPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -203,7 +218,9 @@
             raise AttemptFailed(AttemptEnd.NO_ANSWER, f"no answer in {timeout_s} s") from None
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise AttemptFailed(AttemptEnd.NO_ANSWER, str(error)) from error
-        return UpstreamAnswer(response, self.progress_timeout_s, body_deadline_s)
+        return UpstreamAnswer(
+            response, self.progress_timeout_s, Holding(self.held), body_deadline_s
+        )
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/daisystack/runtime/upstreams.py
+++ b/daisystack/runtime/upstreams.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field, frozen
 
+from daisystack.core.held_bytes import HeldBytes
 from daisystack.core.peers import PeerStatus
 from daisystack.core.readers import upstreams_of_entry
 from daisystack.core.register import Instance, SiteDocument
@@ -59,6 +60,8 @@
     heartbeats: HeartbeatTask
     get_document: Callable[[], SiteDocument | None]
     progress_timeout_s: float
+    # Bytes of answers that the process holds.
+    held: HeldBytes = field(factory=HeldBytes)
     rng: random.Random = field(factory=random.SystemRandom)
     in_flight: InFlightCounts = field(factory=InFlightCounts)
     latency: UpstreamLatency = field(factory=UpstreamLatency)
@@ -151,7 +154,9 @@
         """Return the HTTP client to an upstream's agent."""
         address = instance.http_address
         if address not in self._clients:
-            self._clients[address] = UpstreamClient(address, self.progress_timeout_s)
+            self._clients[address] = UpstreamClient(
+                address, self.progress_timeout_s, held=self.held
+            )
         return self._clients[address]
 
     def drop_connections(self, instance: Instance) -> None:
--- a/daisystack/runtime/web.py
+++ b/daisystack/runtime/web.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import socket
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Callable, Generator, Iterable, Iterator
 from urllib.parse import parse_qsl, unquote
 
 import eventlet
@@ -85,6 +85,8 @@
     body: bytes | StreamBody = b""
     content_type: str = "application/json"
     headers: tuple[tuple[str, str], ...] = ()
+    # Called once the response is sent or can't be.
+    on_sent: Callable[[], None] = lambda: None
 
 
 @define(eq=False)
@@ -111,6 +113,24 @@
             self.abort()
 
 
+@frozen
+class _SentBody:
+    """Body that tells when it is sent."""
+
+    body: bytes
+    on_sent: Callable[[], None]
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self.body
+
+    def __len__(self) -> int:
+        return 1
+
+    def close(self) -> None:
+        """Report that the server is done with the body."""
+        self.on_sent()
+
+
 @frozen
 class Route:
     """Route a method and path prefix to a handler, which gets the rest of the path."""
@@ -155,7 +175,7 @@
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             start_response(_status_line(response.status), headers)
-            return [response.body]
+            return _SentBody(response.body, response.on_sent)
         environ["eventlet.minimum_write_chunk_size"] = 1
         start_response(_status_line(response.status), headers)
         return response.body
