Count failures and parts of events against the bytes that a process holds

Cause: each answer has a bound of its own (4 MB, 1 MB for an event), but only sound bodies counted against the process's budget. A failure that is kept while the request goes on elsewhere counted as nothing from the end of its attempt on, the part of an event never did.

Change: both count; a part of an event only beyond 4 KiB, so that usual streams are never cut for what another one holds. A body that is passed on part by part is given back with its first part, which was held twice until its end.

--- a/daisystack/core/event_stream.py
+++ b/daisystack/core/event_stream.py
@@ -48,9 +48,9 @@
     _searched: int = 0
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether bytes of an incomplete event are buffered."""
-        return bool(self._buffer)
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete event are buffered."""
+        return len(self._buffer)
 
     def feed(self, piece: bytes) -> Iterator[StreamEvent]:
         """Yield the events that the bytes complete; raise ValueError if one is too large."""
--- a/daisystack/core/held_bytes.py
+++ b/daisystack/core/held_bytes.py
@@ -50,6 +50,18 @@
         self.budget.held_bytes += count_bytes
         return True
 
+    def try_resize(self, count_bytes: int) -> bool:
+        """Hold exactly so many bytes; return False if they don't fit."""
+        if count_bytes > self.held_bytes:
+            return self.try_grow(count_bytes - self.held_bytes)
+        self.shrink(self.held_bytes - count_bytes)
+        return True
+
+    def move_to(self, other: Holding) -> None:
+        """Let another holding of the budget hold these bytes instead of its own."""
+        other.release()
+        other.held_bytes, self.held_bytes = self.held_bytes, 0
+
     def shrink(self, count_bytes: int) -> None:
         """Give bytes back."""
         self.held_bytes -= count_bytes
--- a/daisystack/runtime/direct_attempt.py
+++ b/daisystack/runtime/direct_attempt.py
@@ -23,6 +23,8 @@
 __all__ = ["AttemptResult", "AttemptRunner"]
 
 FIRST_SERVER_ERROR = 500
+# The parts of usual events are not counted, so that no stream is cut for what another one holds.
+USUAL_EVENT_BYTES = 4096
 
 
 @frozen
@@ -62,16 +64,25 @@
     exact_version: int | None = None
     held: HeldBytes = field(factory=HeldBytes)
     first_event_sent_s: float | None = None
+    # Of failed_answer, which outlasts its attempt.
+    _failed_holding: Holding = field(init=False)
     _sent: SentRequest | None = None
     _on_answer: Callable[[DirectAnswer], None] = lambda answer: None
     _last_event_id: bytes | None = None
     _last_event_number: int | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self._failed_holding = Holding(self.held)
+
     @property
     def has_started(self) -> bool:
         """Return whether any part of a response has been sent to the caller."""
         return self.responder.has_started
 
+    def release(self) -> None:
+        """Give back the bytes that are held for the request."""
+        self._failed_holding.release()
+
     def run(
         self,
         upstream: DirectUpstream,
@@ -167,8 +178,11 @@
             if not holding.try_grow(len(data)):
                 if is_failure:
                     raise AttemptFailed(AttemptEnd.ANSWER_CUT, "too many bytes are held")
-                return self._forward_parts(answer, is_framed, chain((bytes(body), data), parts))
+                rest = chain(_give_back(body, holding), (data,), parts)
+                return self._forward_parts(answer, is_framed, rest)
             body += data
+        if is_failure:
+            return self._keep_failure(answer, bytes(body), holding)
         return self._forward_whole(answer, is_framed, bytes(body))
 
     def _forward_parts(
@@ -183,11 +197,13 @@
         self.responder.finish()
         return AttemptResult(AttemptEnd.ANSWERED, "", answer.status, is_framed=is_framed)
 
+    def _keep_failure(self, answer: DirectAnswer, body: bytes, holding: Holding) -> AttemptResult:
+        self.failed_answer = _FailedAnswer(answer, body)
+        holding.move_to(self._failed_holding)
+        reason = f"upstream returned status {answer.status}"
+        return AttemptResult(AttemptEnd.ANSWER_CUT, reason, answer.status)
+
     def _forward_whole(self, answer: DirectAnswer, is_framed: bool, body: bytes) -> AttemptResult:
-        if answer.status >= FIRST_SERVER_ERROR or self.has_started:
-            self.failed_answer = _FailedAnswer(answer, body)
-            reason = f"upstream returned status {answer.status}"
-            return AttemptResult(AttemptEnd.ANSWER_CUT, reason, answer.status)
         self.status = answer.status
         self.responder.send_answer(answer.status, list(answer.headers), body)
         return AttemptResult(AttemptEnd.ANSWERED, "", answer.status, is_framed=is_framed)
@@ -195,13 +211,23 @@
     def _forward_stream(
         self, exchange: DirectExchange, answer: DirectAnswer, is_framed: bool
     ) -> AttemptResult:
+        partial = Holding(self.held)
+        try:
+            return self._forward_events(exchange, answer, is_framed, partial)
+        finally:
+            partial.release()
+
+    def _forward_events(
+        self, exchange: DirectExchange, answer: DirectAnswer, is_framed: bool, partial: Holding
+    ) -> AttemptResult:
+        """Forward a stream event by event; partial holds the bytes of one that isn't complete."""
         if self.exact_version is not None and answer.version != self.exact_version:
             raise AttemptFailed(
                 AttemptEnd.ANSWER_MIXED,
                 "response is from another weight version than the first part",
             )
         event_count = 0
-        for event in self._iter_events(exchange):
+        for event in self._iter_events(exchange, partial):
             if not event.is_valid:
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, "text that is no event")
             event_count += 1
@@ -220,14 +246,17 @@
         self.responder.finish()
         return AttemptResult(AttemptEnd.ANSWERED, "", answer.status, is_framed=is_framed)
 
-    def _iter_events(self, exchange: DirectExchange) -> Iterator[StreamEvent]:
+    def _iter_events(self, exchange: DirectExchange, partial: Holding) -> Iterator[StreamEvent]:
         splitter = EventSplitter()
         for data in exchange.iter_body():
             try:
                 yield from splitter.feed(data)
             except ValueError as error:
                 raise AttemptFailed(AttemptEnd.ANSWER_CUT, str(error)) from error
-        if splitter.has_partial_event:
+            counted_bytes = max(0, splitter.partial_bytes - USUAL_EVENT_BYTES)
+            if not partial.try_resize(counted_bytes):
+                raise AttemptFailed(AttemptEnd.ANSWER_CUT, "too many bytes are held")
+        if splitter.partial_bytes:
             raise AttemptFailed(AttemptEnd.ANSWER_CUT, "stream ended within an event")
 
     def _start_answer(self, answer: DirectAnswer) -> None:
@@ -245,5 +274,12 @@
         return event.number <= self._last_event_number
 
 
+def _give_back(body: bytearray, holding: Holding) -> Iterator[bytes]:
+    """Yield what is held of a body, and hold it no longer once it was passed on."""
+    yield bytes(body)
+    body.clear()
+    holding.release()
+
+
 def _is_success(answer: DirectAnswer) -> bool:
     return 200 <= answer.status < 300
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -195,7 +195,10 @@
             self.dialect, request, route, responder, state.deadline_s, held=self.held
         )
         context = _RequestContext(request, route, service, workspace, state, runner, summary)
-        self._attempt_until_done(context)
+        try:
+            self._attempt_until_done(context)
+        finally:
+            runner.release()
 
     def _find_spent_s(self, route: Route, service: str, request: DirectRequest) -> float:
         """Return how much of its time a caller had used when this request arrived."""
