Answer what a stopping entry has accepted before its process ends

Another operator's callers lost requests in a planned stop, in calm: they were taken and passed on, and cut at the end of the grace without an answer, among them requests that may not be repeated.

Cause: an entry accepts everything for 2 s after the signal, also what may last longer than the grace, and nothing ends what is in progress before the process does. With a grace of 2 s or less it accepts everything to the end. A request whose deadline was the end itself had no time for its answer.

Ruled out: late requests with a time limit beyond a usual grace, which were refused already.

Change: 0.4 s before the process ends, what is in progress gets its final answer: 504 if it was sent on, 503 with a time to come back if not; a stream that has begun is cut without its end. Late requests are accepted if they end by then. No attempt begins after that moment, also if its connection opened meanwhile.

--- a/daisystack/runtime/attempt_guard.py
+++ b/daisystack/runtime/attempt_guard.py
@@ -25,6 +25,7 @@
 
 # A wait is checked every 0.2 s, and the answer must reach the caller before it gives up.
 STUCK_ANSWER_MARGIN_S = 0.3
+ENDING_REASON = "this entry stops"
 
 
 @define(eq=False)
@@ -42,10 +43,14 @@
     can_retry: Callable[[float], bool]
     # Whether the caller's key still allows the request, as it will be sent.
     is_authorized: Callable[[], bool]
+    # Whether this process is about to end.
+    is_ending: Callable[[float], bool] = lambda now_s: False
 
     def check_send(self) -> None:
         """Raise AttemptFailed if the request may no longer be sent; no byte of it was."""
         at_s = now_s()
+        if self.is_ending(at_s):
+            raise AttemptFailed(AttemptEnd.NOT_SENT, ENDING_REASON)
         if not self.is_authorized():
             raise AttemptFailed(AttemptEnd.NOT_SENT, "its key is no longer confirmed")
         # The configuration in force may allow other regions than the one at the choice.
@@ -60,6 +65,8 @@
     def check_wait(self) -> None:
         """Raise AttemptFailed if the attempt must end before its answer is complete."""
         at_s = now_s()
+        if self.is_ending(at_s):
+            raise AttemptFailed(AttemptEnd.DEADLINE, ENDING_REASON)
         if self._must_withdraw(at_s):
             raise AttemptFailed(AttemptEnd.WITHDRAWN, "its version ends before it has begun")
         if self._can_leave_stuck(at_s):
--- a/daisystack/runtime/direct_requests.py
+++ b/daisystack/runtime/direct_requests.py
@@ -64,6 +64,7 @@
 # Attempts end this long before the deadline, so that the response reaches the caller in time.
 ANSWER_MARGIN_S = 0.02
 
+STOPPING_REASON = "this entry stops before the request could end"
 # Of a fault's text in the log.
 MAX_REASON_CHARS = 200
 
@@ -267,9 +268,11 @@
         stop_times = self.stop_times()
         longest_s = min(route.timeout_s, request.time_left_s)
         if stop_times is not None and not stop_times.has_time_for(longest_s, now_s()):
-            raise LocalAnswer(
-                503, "this entry stops before the request could end", RETRY_AFTER_STOPPING_S
-            )
+            raise LocalAnswer(503, STOPPING_REASON, RETRY_AFTER_STOPPING_S)
+
+    def _is_ending(self, now_s: float) -> bool:
+        stop_times = self.stop_times()
+        return stop_times is not None and stop_times.must_answer(now_s)
 
     def _check_hold(self, request: DirectRequest) -> None:
         reason = self.crashes.check(request)
@@ -280,6 +283,8 @@
         at_s = now_s()
         if at_s >= context.state.deadline_s:
             raise LocalAnswer(503, "deadline has passed")
+        if self._is_ending(at_s):
+            raise LocalAnswer(503, STOPPING_REASON, RETRY_AFTER_STOPPING_S)
         requirements = self._build_requirements(context, at_s)
         chosen = self.placement.choose(requirements, at_s)
         if isinstance(chosen, Refusal):
@@ -344,6 +349,7 @@
                 context.service, self.count_entries(), at_s
             ),
             is_authorized=lambda: self._is_authorized(context, workspace),
+            is_ending=self._is_ending,
         )
 
     def _is_authorized(self, context: _RequestContext, workspace: Workspace | None) -> bool:
--- a/daisystack/tests/test_direct_entry.py
+++ b/daisystack/tests/test_direct_entry.py
@@ -40,9 +40,9 @@
         return (int(value),)
 
 
-def build_entry(publication_bound_s=2.0, **options):
+def build_entry(publication_bound_s=2.0, stop_grace_s=8.0, **options):
     addresses = [free_address() for _ in range(6)]
-    bounds_s = (1.0, 8.0, publication_bound_s, 5.0, 8.0)
+    bounds_s = (1.0, stop_grace_s, publication_bound_s, 5.0, 8.0)
     identity = ProcessIdentity("e1", "z1", "r1", ())
     settings = DirectEntrySettings(identity, *addresses, *bounds_s, 0.2, 100.0, 10.0, **options)
     return DirectEntry(settings, "op/", "up/", None, Reader(), PlainDialect(), None)
