Refuse new requests at an entry that has left and is still in use

Cause: the process ends when nothing is in flight, and goes on accepting. Callers with open connections keep it alive until it is killed, which cuts off what it has just accepted. Its responses did not announce the close of their connections.

Change: responses of a process that leaves announce it. Once no list of addresses names the entry any more, new requests and tickets are refused (not_run); what is in flight ends by its own limits, and with it the process.

Evidence: test_an_entry_that_no_list_names_refuses_new_requests_and_ends sends requests until the process ends; before, it went on accepting.

--- a/daisystack/runtime/daemon.py
+++ b/daisystack/runtime/daemon.py
@@ -51,6 +51,8 @@
     incarnation: str = field(factory=new_incarnation)
     started_s: float = field(factory=now_s)
     leaving: bool = False
+    # Whether no list of addresses names this process any more, and new requests are refused.
+    is_closed: bool = False
     trail: AuditTrail = field(factory=AuditTrail)
     registry: Registry = field(factory=Registry)
     _gauges: dict[str, Gauge] = field(factory=dict)
@@ -102,7 +104,11 @@
         """Start the servers and the tasks; raise OSError if an address can't be bound."""
         settings = self.settings
         serve_peers(parse_address(settings.peer_address), handler)
-        serve_http(parse_address(settings.http_address), [*routes, *self._common_routes()])
+        serve_http(
+            parse_address(settings.http_address),
+            [*routes, *self._common_routes()],
+            lambda: self.leaving,
+        )
         self.config.start()
         self.heartbeats.start()
         started = DaemonStarted(
@@ -117,7 +123,8 @@
     def run_until_stopped(self, in_flight: Callable[[], int], linger_s: float) -> None:
         """Wait for a stop signal, then drain.
 
-        Requests that still arrive within linger_s are handled, and none in flight is cut off.
+        Requests that still arrive within linger_s are handled, later ones refused, and none in
+        flight is cut off.
         """
         stop = eventlet.event.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
@@ -129,8 +136,10 @@
         self.heartbeats.broadcast_status()
         log_event(_logger, DaemonStopping(in_flight(), linger_s))
         stop_requested_s = now_s()
-        while in_flight() or now_s() - stop_requested_s < linger_s:
+        while in_flight() or not self.is_closed:
             eventlet.sleep(STOP_POLL_INTERVAL_S)
+            # Callers that go on with open connections must not keep the process alive.
+            self.is_closed = now_s() - stop_requested_s >= linger_s
         log_event(_logger, DaemonStopped(in_flight()))
         sys.stderr.flush()
 
--- a/daisystack/runtime/entry.py
+++ b/daisystack/runtime/entry.py
@@ -58,7 +58,12 @@
         retry_budget = RetryBudget(ratio=settings.retry_ratio)
         waiting_queues = WaitingQueues(settings.max_queue, settings.max_queue_wait_s)
         self.requests = EntryRequests(
-            settings, self.upstreams, retry_budget, waiting_queues, self._audit_held_request
+            settings,
+            self.upstreams,
+            retry_budget,
+            waiting_queues,
+            self._audit_held_request,
+            is_closed=lambda: self.daemon.is_closed,
         )
         self.daemon.config.on_accepted.append(self._apply_config)
         self.daemon.heartbeats.on_heartbeat.append(self._apply_heartbeat)
@@ -127,8 +132,9 @@
 
     def _mint_ticket(self, request: Request, subpath: str) -> Response:
         document = self.daemon.document
-        if document is None:
-            return json_response(503, {"verdict": "not_run", "error": "no configuration yet"})
+        if document is None or self.daemon.is_closed:
+            reason = "this entry has left" if document else "no configuration yet"
+            return json_response(503, {"verdict": "not_run", "error": reason})
         kind, _, name = subpath.partition("/")
         if kind not in (MODELS, SERVICES):
             raise BadRequest(f"got {kind[:64]!r}, allowed are {MODELS} and {SERVICES}")
--- a/daisystack/runtime/entry_requests.py
+++ b/daisystack/runtime/entry_requests.py
@@ -43,6 +43,7 @@
 
 MAX_BUFFERED_ANSWER_BYTES = 8_000_000
 NO_CONFIG = GiveUp(Verdict.NOT_RUN, AttemptEnd.NO_UPSTREAM, "no configuration is in force yet", 1.0)
+CLOSED = GiveUp(Verdict.NOT_RUN, AttemptEnd.NO_UPSTREAM, "this entry has left", 0.1)
 
 _logger = logging.getLogger("daisystack.requests")
 
@@ -65,12 +66,16 @@
     waiting_queues: WaitingQueues
     on_held: Callable[[str], None]
     hold: CrashHold = field(factory=CrashHold)
+    # Whether new requests are refused, as this process is about to end.
+    is_closed: Callable[[], bool] = lambda: False
     in_flight: int = 0
     ended_counts: dict[tuple[str, str], int] = field(factory=dict)
     retries: int = 0
 
     def handle(self, request: Request, subpath: str, kind: str) -> Response:
         """Return the response to a caller's request; raise BadRequest if it is invalid."""
+        if self.is_closed():
+            return failure_response(CLOSED, "")
         document = self.upstreams.document
         if document is None:
             return failure_response(NO_CONFIG, "")
--- a/daisystack/runtime/web.py
+++ b/daisystack/runtime/web.py
@@ -203,13 +203,23 @@
 
 
 class _Protocol(eventlet.wsgi.HttpProtocol):
+    is_leaving: Callable[[], bool]
+
+    def handle_one_response(self) -> None:
+        """Announce the close of the connection in the responses of a process that leaves."""
+        if self.is_leaving():
+            self.server.keepalive = False
+        super().handle_one_response()
+
     def log_message(self, format: str, *arguments: object) -> None:
         """Log the server library's message on a malformed request as a log event."""
         logger = logging.getLogger("daisystack.wsgi")
         logger.info("http_refused", extra={"reason": (format % arguments)[:MAX_LOGGED_CHARS]})
 
 
-def serve_http(address: Address, routes: Iterable[Route]) -> eventlet.greenthread.GreenThread:
+def serve_http(
+    address: Address, routes: Iterable[Route], is_leaving: Callable[[], bool] = lambda: False
+) -> eventlet.greenthread.GreenThread:
     """Start a server for the routes on an address; raise OSError if it can't be bound."""
     listener = eventlet.listen((address.host, address.port), backlog=1024)
     # Head and body are sent in two writes; without this the second waits for a delayed ACK.
@@ -222,7 +232,7 @@
         log_output=False,
         debug=False,
         max_size=MAX_CONNECTIONS,
-        protocol=_Protocol,
+        protocol=type("Protocol", (_Protocol,), {"is_leaving": staticmethod(is_leaving)}),
         # Close connections that send nothing or only part of a request.
         socket_timeout=IDLE_TIMEOUT_S,
     )
--- a/daisystack/tests/test_planned_stop.py
+++ b/daisystack/tests/test_planned_stop.py
@@ -4,7 +4,10 @@
 that go beyond it.
 """
 
+import contextlib
 import itertools
+import os
+import signal
 import socket
 import time
 import unittest
@@ -19,6 +22,8 @@
 from daisystack.testing.direct import build_policy, build_route, build_upstream
 from daisystack.testing.scripted import ScriptedServer, build_answer, read_request, stall
 from daisystack.tests.test_direct_entry import build_entry
+from daisystack.tests.test_entry_verdicts import build_entry as build_own_entry
+from daisystack.tests.test_entry_verdicts import post
 
 MARK = "Daisystack-Mark: m\r\n"
 # Of the fixture's entry: its grace, when it ends by itself and when it answers at the latest.
@@ -175,5 +180,37 @@
         self.assertFalse(stop.has_time_for(30.0, 0.35))
 
 
+class TestOwnInterface(unittest.TestCase):
+    # Callers that went on with open connections kept a stopping entry alive until it was killed,
+    # which cut off what it had just accepted.
+    def test_an_entry_that_no_list_names_refuses_new_requests_and_ends(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        server = ScriptedServer([stall()])
+        self.addCleanup(server.close)
+        entry = build_own_entry(server.address)
+        requests = entry.requests
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(eventlet.Timeout(8.0))
+            stopped = eventlet.spawn(
+                entry.daemon.run_until_stopped, lambda: requests.in_flight, 0.5
+            )
+            eventlet.sleep(0.1)
+            os.kill(os.getpid(), signal.SIGTERM)
+            while not entry.daemon.leaving:
+                eventlet.sleep(0.02)
+            accepted = [eventlet.spawn(post, entry)]
+            while not entry.daemon.is_closed:
+                eventlet.sleep(0.02)
+            while not stopped.dead:
+                response = post(entry)
+                self.assertEqual(response.status, 503)
+                self.assertIn("not_run", dict(response.headers).values())
+                eventlet.sleep(0.1)
+        # What came before ended by its own time limit, and nothing else was sent.
+        self.assertEqual([task.wait().status for task in accepted], [502])
+        self.assertEqual(server.connections, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
