Read the answers of instances in the status command within bounds

It uses the client of the other calls now. By reading; no test of its own, the client's tests hold it.

--- a/daisystack/cli.py
+++ b/daisystack/cli.py
@@ -177,8 +177,7 @@
     entry: Annotated[str, typer.Option(envvar="DAISYSTACK_ENTRY", help="ip:port of an entry")],
 ) -> None:
     """Show every registered instance; exit with status 1 if one does not serve what it should."""
-    import urllib3
-
+    from daisystack.backends import BackendError
     from daisystack.status import show_status
 
     try:
@@ -186,7 +185,7 @@
     except ValueError as error:
         print(f"--entry: {error}", file=sys.stderr)
         raise typer.Exit(EXIT_REFUSED) from None
-    except urllib3.exceptions.HTTPError as error:
+    except BackendError as error:
         print(f"{entry} does not respond: {error}", file=sys.stderr)
         raise typer.Exit(EXIT_REFUSED) from None
     if mismatched:
--- a/daisystack/status.py
+++ b/daisystack/status.py
@@ -4,10 +4,10 @@
 
 import json
 
-import urllib3
 from rich.console import Console
 from rich.table import Table
 
+from daisystack.backends import BackendError, HttpEndpoint
 from daisystack.core.register import Instance
 from daisystack.core.validation import read_document
 
@@ -19,15 +19,13 @@
 def show_status(entry_address: str) -> int:
     """Print one row per registered instance; return how many don't serve what they should.
 
-    Instances that don't respond are counted too.
+    Instances that don't respond are counted too. Raise BackendError if the entry doesn't.
     """
-    http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
-    body = http.request("GET", f"http://{entry_address}/v1/document").data
-    document = read_document(body)
+    document = read_document(_fetch(entry_address, "/v1/document"))
     table = Table("instance", "zone", "intended", "serves", "gate", "chunks", "state", "revision")
     mismatched = 0
     for instance in document.register.instances:
-        status = _fetch_status(http, instance)
+        status = _fetch_status(instance)
         intended = ", ".join(f"{s.model}@{s.version}" for s in instance.serves) or "-"
         if status is None:
             mismatched += 1
@@ -44,9 +42,13 @@
     return mismatched
 
 
-def _fetch_status(http: urllib3.PoolManager, instance: Instance) -> dict | None:
+def _fetch_status(instance: Instance) -> dict | None:
     try:
-        response = http.request("GET", f"http://{instance.http_address}/v1/status")
-        return json.loads(response.data)
-    except (urllib3.exceptions.HTTPError, ValueError):
+        return json.loads(_fetch(instance.http_address, "/v1/status"))
+    except (BackendError, ValueError):
         return None
+
+
+def _fetch(address: str, path: str) -> bytes:
+    endpoint = HttpEndpoint(address)
+    return endpoint.call("GET", path, read_timeout_s=TIMEOUT_S, call_timeout_s=TIMEOUT_S).body
