Send endless blocks without copies in the tests of peak memory

Cause: the sender shares the process; while it waits in the middle of a block of 1 MB, the green socket holds a copy of the rest, up to 40 MB for 40 senders. That the failed play had this cause is by reading and by the size, not shown in it.

Change: the block is sent through a memory view, whose rest is no copy.

--- a/daisystack/testing/scripted.py
+++ b/daisystack/testing/scripted.py
@@ -126,9 +126,11 @@
         """Answer one request."""
         read_request(sock)
         sock.sendall(self.head)
+        # The rest of a block is not copied while its sending waits.
+        block = memoryview(self.block)
         try:
             while True:
-                sock.sendall(self.block)
+                sock.sendall(block)
                 self.sent_bytes += len(self.block)
                 eventlet.sleep(self.interval_s)
         finally:
